--- /dev/null
+++ b/controller/controller.go
@@ -0,0 +1,185 @@
+package controller
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+
+	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/estate"
+	"sandbarrow.example/sandbarrow/evict"
+	"sandbarrow.example/sandbarrow/prefixwatch"
+)
+
+const (
+	// tokenKeyPrefix is the prefix of the keys whose revision is a fencing token.
+	tokenKeyPrefix = "sandbarrow/token/"
+	tokenTimeout   = 1500 * time.Millisecond
+	tokenPause     = 300 * time.Millisecond
+	// watchWait is the longest wait of one watch of the estate.
+	watchWait = 4 * time.Second
+	// rememberedRecent bounds the list of adapters that left a slot lately.
+	rememberedRecent = 36
+)
+
+// Config is what a Controller needs.
+type Config struct {
+	Box       sandbarrow.BoxID
+	Control   sandbarrow.EngineControl
+	Documents estate.Documents
+	// Engine is the engine's address.
+	Engine  string
+	Logger  *slog.Logger
+	Metrics prometheus.Registerer
+	Service sandbarrow.ServiceID
+	Store   sandbarrow.PrefixStore
+}
+
+// Controller owns the slots of one engine.
+type Controller struct {
+	box     sandbarrow.BoxID
+	control sandbarrow.EngineControl
+	engine  string
+	estate  *estate.Estate
+	logger  *slog.Logger
+	metrics *metrics
+	now     func() time.Time
+	service sandbarrow.ServiceID
+	store   sandbarrow.PrefixStore
+	wake    chan struct{}
+	watch   prefixwatch.Watch
+
+	mu            sync.Mutex
+	failedReports int
+	links         map[*link]bool
+	recent        []sandbarrow.AdapterKey
+	reported      sandbarrow.EngineReport
+	sequence      uint64
+	slots         *slots
+	stopping      bool
+	token         sandbarrow.FencingToken
+}
+
+// New returns a controller; Run starts it.
+func New(c Config) *Controller {
+	e := estate.New(c.Documents, c.Logger)
+	return &Controller{
+		box: c.Box, control: c.Control, engine: c.Engine, estate: e, links: map[*link]bool{}, logger: c.Logger,
+		metrics: newMetrics(c.Metrics), now: time.Now, service: c.Service, slots: newSlots(evict.NewCost()), store: c.Store,
+		wake: make(chan struct{}, 1),
+		watch: prefixwatch.Watch{
+			Consumer: e, Logger: c.Logger, Prefix: c.Documents.Prefix(), Store: c.Store, Wait: watchWait,
+		},
+	}
+}
+
+// Run works until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return c.watch.Run(ctx) })
+	g.Go(func() error { return c.tokenLoop(ctx) })
+	g.Go(func() error { return c.engineLoop(ctx) })
+	g.Go(func() error { return c.heartbeatLoop(ctx) })
+	return g.Wait()
+}
+
+// tokenLoop obtains the first fencing token.
+func (c *Controller) tokenLoop(ctx context.Context) error {
+	for ctx.Err() == nil && c.currentToken() == 0 {
+		c.renewToken(ctx)
+		if c.currentToken() == 0 {
+			pause(ctx, tokenPause)
+		}
+	}
+	return nil
+}
+
+// renewToken writes the key of the token; the store's revision is the token.
+// A write without answer is made again: its revision is newer still.
+func (c *Controller) renewToken(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, tokenTimeout)
+	defer cancel()
+	revision, err := c.store.Commit(ctx, sandbarrow.Transaction{
+		Put: map[string][]byte{tokenKeyPrefix + c.engine: []byte(c.box)},
+	})
+	if err != nil {
+		c.logger.Warn("fencing token not obtained", "error", err.Error())
+		return
+	}
+	c.takeToken(sandbarrow.FencingToken(revision), "store")
+}
+
+// takeToken raises the token; source says where it was learnt.
+func (c *Controller) takeToken(t sandbarrow.FencingToken, source string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t <= c.token {
+		return
+	}
+	c.token = t
+	c.logger.Info("fencing token", "token", uint64(t), "source", source)
+	c.rouse()
+}
+
+func (c *Controller) currentToken() sandbarrow.FencingToken {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.token
+}
+
+// rouse wakes the engine loop.
+func (c *Controller) rouse() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// remember notes an adapter that left its slot. The caller holds mu.
+func (c *Controller) remember(key sandbarrow.AdapterKey) {
+	kept := c.recent[:0]
+	for _, k := range c.recent {
+		if k != key {
+			kept = append(kept, k)
+		}
+	}
+	c.recent = append(kept, key)
+	if len(c.recent) > rememberedRecent {
+		c.recent = c.recent[1:]
+	}
+}
+
+// status describes the engine. The caller holds mu.
+func (c *Controller) status() enginelink.Status {
+	s := enginelink.Status{
+		Free: c.slots.free(), Instance: c.reported.Instance, Leaving: c.reported.Leaving || c.stopping,
+		Silent: c.failedReports >= silentAfter, Slots: c.slots.status(), Token: c.token,
+	}
+	for _, m := range c.reported.Models {
+		s.Models = append(s.Models, m.Model)
+	}
+	for l := range c.links {
+		for _, u := range l.uses {
+			if !u.granted {
+				continue
+			}
+			s.Running++
+			if !u.begun {
+				s.WaitingTokens += u.tokens
+			}
+		}
+	}
+	return s
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/controller/engineloop.go
@@ -0,0 +1,184 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/enginelink"
+)
+
+const (
+	// orderTimeout bounds one order; the engine is on the same box.
+	orderTimeout = 400 * time.Millisecond
+	// reportTimeout bounds one report.
+	reportTimeout = 400 * time.Millisecond
+	// idlePoll, comingPoll and silentPoll are the pauses between reports while
+	// nothing is under way, while an adapter comes and while the engine is silent.
+	idlePoll   = 250 * time.Millisecond
+	comingPoll = 15 * time.Millisecond
+	silentPoll = 150 * time.Millisecond
+	// silentAfter is how many failed reports make the engine silent.
+	silentAfter = 2
+	// conflictPause follows an order that conflicts with another.
+	conflictPause = 20 * time.Millisecond
+)
+
+// engineLoop reads reports and gives orders, one at a time, until ctx ends.
+func (c *Controller) engineLoop(ctx context.Context) error {
+	for ctx.Err() == nil {
+		report, err := c.report(ctx)
+		pause := c.takeReport(report, err)
+		if err == nil {
+			pause = min(pause, c.giveOrders(ctx, report.Sequence))
+		}
+		c.publish()
+		select {
+		case <-time.After(pause):
+		case <-c.wake:
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+func (c *Controller) report(ctx context.Context) (sandbarrow.EngineReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	return c.control.Report(ctx)
+}
+
+// takeReport brings the belief in line with the engine and returns when to look again.
+func (c *Controller) takeReport(r sandbarrow.EngineReport, err error) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		c.failedReports++
+		if c.failedReports == silentAfter {
+			c.logger.Warn("engine lost", "error", err.Error())
+			c.slots.refuseAll(enginelink.RefuseSilent)
+		}
+		return silentPoll
+	}
+	if c.failedReports >= silentAfter {
+		c.logger.Info("engine regained", "sequence", r.Sequence)
+	}
+	c.failedReports = 0
+	restarted := r.Sequence < c.sequence || r.Instance != "" && c.reported.Instance != "" && r.Instance != c.reported.Instance
+	if restarted {
+		c.logger.Warn("engine restarted", "sequence", r.Sequence, "before", c.sequence, "instance", string(r.Instance))
+	}
+	if r.Leaving && !c.reported.Leaving {
+		c.logger.Info("engine leaves")
+		c.slots.refuseAll(enginelink.RefuseLeaving)
+	}
+	now := c.now()
+	c.sequence = r.Sequence
+	c.reported = r
+	c.slots.take(now, r.Models, r.Coming)
+	c.slots.settle(now)
+	if c.slots.coming() > 0 || r.Busy {
+		return comingPoll
+	}
+	return idlePoll
+}
+
+// giveOrders gives orders until none is due and returns when to look again.
+func (c *Controller) giveOrders(ctx context.Context, sequence uint64) time.Duration {
+	for ctx.Err() == nil {
+		o, ok := c.nextOrder(sequence)
+		if !ok {
+			break
+		}
+		done, err := c.order(ctx, &o)
+		if err != nil {
+			c.logOrder(&o, "failed", err)
+			return c.afterFailedOrder(ctx, err)
+		}
+		c.logOrder(&o, "taken", nil)
+		c.mu.Lock()
+		if o.Adapter != "" && (!o.Load || !done) {
+			c.slots.ordered(c.now(), &o, done)
+		}
+		if !o.Load {
+			c.remember(sandbarrow.AdapterKey{Adapter: o.Adapter, Model: o.Model})
+		}
+		c.mu.Unlock()
+		if done && o.Load || o.Adapter == "" {
+			return comingPoll
+		}
+		sequence++
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.slots.coming() > 0 {
+		return comingPoll
+	}
+	return idlePoll
+}
+
+func (c *Controller) logOrder(o *sandbarrow.EngineOrder, outcome string, err error) {
+	level := c.logger.Info
+	attrs := []any{"load", o.Load, "model", string(o.Model), "adapter", string(o.Adapter), "version", uint64(o.Version),
+		"expected", o.Expected, "token", uint64(o.Token), "outcome", outcome}
+	if err != nil {
+		level = c.logger.Warn
+		attrs = append(attrs, "error", err.Error())
+	}
+	level("order", attrs...)
+	c.metrics.order(o, outcome)
+}
+
+func (c *Controller) order(ctx context.Context, o *sandbarrow.EngineOrder) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return c.control.Order(ctx, *o)
+}
+
+// afterFailedOrder decides when to look again. An order without answer is not
+// repeated blindly: the next report tells whether the sequence has moved, and
+// any later order moves it, so that a late one no longer fits.
+func (c *Controller) afterFailedOrder(ctx context.Context, err error) time.Duration {
+	if errors.Is(err, sandbarrow.ErrOrderFenced) {
+		c.renewToken(ctx)
+	}
+	return conflictPause
+}
+
+// nextOrder chooses the next order, if there is one and it may be given.
+func (c *Controller) nextOrder(sequence uint64) (sandbarrow.EngineOrder, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	view := c.estate.View()
+	if view == nil || c.token == 0 || c.reported.Leaving || c.stopping {
+		return sandbarrow.EngineOrder{}, false
+	}
+	service := view.Table.Services[c.service]
+	if service == nil || service.Engine == nil {
+		return sandbarrow.EngineOrder{}, false
+	}
+	c.slots.capacity = service.Engine.AdapterSlots
+	var o sandbarrow.EngineOrder
+	ok := false
+	if len(c.reported.Models) == 0 {
+		if c.reported.Busy || len(service.Engine.Models) == 0 {
+			return o, false
+		}
+		o, ok = sandbarrow.EngineOrder{Load: true, Model: service.Engine.Models[0].ID}, true
+	} else {
+		o, ok = c.slots.next(c.now())
+	}
+	if o.Load && o.Adapter != "" {
+		key := sandbarrow.AdapterKey{Adapter: o.Adapter, Model: o.Model}
+		o.Version = max(o.Version, view.Version(key))
+	}
+	o.Expected, o.Holder, o.Instance, o.Token = sequence, c.box, c.instance(), c.token
+	return o, ok
+}
+
+// instance is the engine's start as far as it is known.
+func (c *Controller) instance() sandbarrow.InstanceID {
+	return c.reported.Instance
+}
--- /dev/null
+++ b/controller/link.go
@@ -0,0 +1,262 @@
+package controller
+
+import (
+	"context"
+	"net"
+	"reflect"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/wire"
+)
+
+// publishPause is the shortest time between two statuses on a link.
+const publishPause = 40 * time.Millisecond
+
+// link is the connection of one gateway.
+type link struct {
+	controller *Controller
+	ctx        context.Context
+	news       chan struct{}
+	rpc        *jsonrpc2.Conn
+	// uses is guarded by the controller's mu.
+	uses map[sandbarrow.RequestID]*use
+}
+
+// Serve takes links until ctx ends.
+func (c *Controller) Serve(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			c.logger.Warn("link not taken", "error", err.Error())
+			pause(ctx, publishPause)
+			continue
+		}
+		go c.serveLink(ctx, conn)
+	}
+}
+
+func (c *Controller) serveLink(ctx context.Context, conn net.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l := &link{controller: c, ctx: ctx, news: make(chan struct{}, 1), uses: map[sandbarrow.RequestID]*use{}}
+	// The handler waits for l.rpc, which NewConn returns after it has begun to read.
+	ready := make(chan struct{})
+	l.rpc = jsonrpc2.NewConn(ctx, wire.NewStream(conn), wire.Handler(func(ctx context.Context, r *jsonrpc2.Request) (any, error) {
+		<-ready
+		return l.handle(ctx, r)
+	}))
+	close(ready)
+	c.mu.Lock()
+	c.links[l] = true
+	c.mu.Unlock()
+	go enginelink.TellMarks(ctx, l.rpc, c.estate)
+	go l.tellStatus(ctx)
+	select {
+	case <-l.rpc.DisconnectNotify():
+	case <-ctx.Done():
+		_ = l.rpc.Close()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.links, l)
+	for _, u := range l.uses {
+		c.slots.release(c.now(), u)
+	}
+	c.rouse()
+}
+
+func (l *link) handle(_ context.Context, r *jsonrpc2.Request) (any, error) {
+	c := l.controller
+	switch r.Method {
+	case enginelink.MethodAcquire:
+		return wire.Later(l.rpc, r, func(q enginelink.Acquire) any { return l.acquire(&q) })
+	case enginelink.MethodFetch:
+		return enginelink.ServeFetch(l.rpc, r, c.estate)
+	case enginelink.MethodHello:
+		var h enginelink.Hello
+		if err := wire.Decode(r, &h); err != nil {
+			return nil, err
+		}
+		if h.Token > 0 {
+			c.takeToken(h.Token, string(h.Box))
+		}
+		return nil, nil
+	case enginelink.MethodMark:
+		var m enginelink.Mark
+		if err := wire.Decode(r, &m); err != nil {
+			return nil, err
+		}
+		go enginelink.TakeMark(l.ctx, l.rpc, c.estate, m)
+		return nil, nil
+	case enginelink.MethodBegun, enginelink.MethodDone:
+		var u enginelink.Use
+		if err := wire.Decode(r, &u); err != nil {
+			return nil, err
+		}
+		l.note(u.ID, r.Method == enginelink.MethodDone)
+		return nil, nil
+	}
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
+}
+
+// note takes a word about a granted use.
+func (l *link) note(id sandbarrow.RequestID, done bool) {
+	c := l.controller
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u := l.uses[id]
+	if u == nil {
+		return
+	}
+	u.begun = true
+	if done {
+		delete(l.uses, id)
+		c.slots.release(c.now(), u)
+		if len(c.slots.wants) > 0 {
+			c.rouse()
+		}
+	}
+	c.announce()
+}
+
+// acquire waits for the use of an adapter.
+func (l *link) acquire(q *enginelink.Acquire) enginelink.Grant {
+	c := l.controller
+	u := &use{key: sandbarrow.AdapterKey{Adapter: q.Adapter, Model: q.Model}, tokens: q.Tokens}
+	w, refused := l.ask(q, u)
+	if refused != "" {
+		return enginelink.Grant{Refused: refused}
+	}
+	timer := time.NewTimer(time.Duration(q.WaitMS) * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case g := <-w.grant:
+		return l.granted(q, u, g)
+	case <-timer.C:
+	case <-l.ctx.Done():
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case g := <-w.grant: // it came meanwhile
+		if g.Refused == "" {
+			l.uses[q.ID] = u
+		}
+		return g
+	default:
+	}
+	c.slots.withdraw(w)
+	c.metrics.refused(enginelink.RefuseSlots)
+	return enginelink.Grant{Refused: enginelink.RefuseSlots}
+}
+
+func (l *link) granted(q *enginelink.Acquire, u *use, g enginelink.Grant) enginelink.Grant {
+	c := l.controller
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if g.Refused != "" {
+		c.metrics.refused(g.Refused)
+		return g
+	}
+	if l.ctx.Err() != nil {
+		c.slots.release(c.now(), u)
+		return g
+	}
+	l.uses[q.ID] = u
+	c.announce()
+	return g
+}
+
+// ask queues a request, or refuses it at once.
+func (l *link) ask(q *enginelink.Acquire, u *use) (*waiter, enginelink.RefuseReason) {
+	c := l.controller
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.reported.Leaving || c.stopping:
+		return nil, enginelink.RefuseLeaving
+	case c.failedReports >= silentAfter:
+		return nil, enginelink.RefuseSilent
+	case !c.holdsModel(q.Model):
+		return nil, enginelink.RefuseNoModel
+	}
+	if q.Adapter == "" {
+		w := &waiter{grant: make(chan enginelink.Grant, 1), use: u}
+		u.granted = true
+		w.grant <- enginelink.Grant{}
+		return w, ""
+	}
+	w := c.slots.ask(c.now(), q, u)
+	if !u.granted {
+		c.rouse()
+	}
+	return w, ""
+}
+
+func (c *Controller) holdsModel(m sandbarrow.BaseModelID) bool {
+	for _, held := range c.reported.Models {
+		if held.Model == m {
+			return true
+		}
+	}
+	return false
+}
+
+// announce makes all links tell their status soon. The caller holds mu.
+func (c *Controller) announce() {
+	for l := range c.links {
+		select {
+		case l.news <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// publish announces the status.
+func (c *Controller) publish() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.announce()
+}
+
+// heartbeatLoop announces the status now and then, so that gateways see that
+// this process lives.
+func (c *Controller) heartbeatLoop(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause(ctx, enginelink.Heartbeat)
+		c.publish()
+	}
+	return nil
+}
+
+// tellStatus sends statuses that differ from the last, and heartbeats.
+func (l *link) tellStatus(ctx context.Context) {
+	var sent enginelink.Status
+	var at time.Time
+	for ctx.Err() == nil {
+		l.controller.mu.Lock()
+		s := l.controller.status()
+		l.controller.mu.Unlock()
+		if time.Since(at) >= enginelink.Heartbeat-publishPause || !reflect.DeepEqual(s, sent) {
+			if err := l.rpc.Notify(ctx, enginelink.MethodStatus, s); err != nil && !errors.Is(err, context.Canceled) {
+				return
+			}
+			sent, at = s, time.Now()
+		}
+		pause(ctx, publishPause)
+		select {
+		case <-l.news:
+		case <-ctx.Done():
+		}
+	}
+}
--- /dev/null
+++ b/controller/slots.go
@@ -0,0 +1,369 @@
+// Package controller runs beside an engine and decides which adapters occupy
+// its slots. Gateways ask it for the use of an adapter and send their requests
+// to the engine themselves.
+package controller
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/enginelink"
+)
+
+const (
+	// maxComing is how many adapters an engine loads at the same time.
+	maxComing = 4
+	// demandHalfLife is the time in which the memory of past demand halves.
+	demandHalfLife = 15 * time.Second
+	// rememberedAdapters bounds the history of demand.
+	rememberedAdapters = 512
+)
+
+// slot is one adapter on the engine.
+type slot struct {
+	key      sandbarrow.AdapterKey
+	lastUsed time.Time
+	loaded   time.Time
+	state    enginelink.SlotState
+	uses     int
+	version  sandbarrow.AdapterVersion
+}
+
+// want is a set of requests that wait for one adapter.
+type want struct {
+	key      sandbarrow.AdapterKey
+	priority int
+	since    time.Time
+	version  sandbarrow.AdapterVersion
+	waiters  []*waiter
+}
+
+// waiter is one request that waits. Its channel holds one grant.
+type waiter struct {
+	grant chan enginelink.Grant
+	use   *use
+}
+
+// use is one request that was granted an adapter, or waits for it.
+type use struct {
+	begun   bool
+	granted bool
+	key     sandbarrow.AdapterKey
+	tokens  int
+}
+
+// demand is the decayed count of requests for an adapter.
+type demand struct {
+	at    time.Time
+	count float64
+}
+
+func (d *demand) value(now time.Time) float64 {
+	return d.count * math.Exp2(-now.Sub(d.at).Seconds()/demandHalfLife.Seconds())
+}
+
+func (d *demand) add(now time.Time) {
+	d.count, d.at = d.value(now)+1, now
+}
+
+// slots is the state of an engine's slots and of what waits for them. It is
+// not safe for concurrent use.
+type slots struct {
+	capacity int
+	demands  map[sandbarrow.AdapterKey]*demand
+	evictor  sandbarrow.Evictor
+	slots    map[sandbarrow.AdapterKey]*slot
+	wants    map[sandbarrow.AdapterKey]*want
+}
+
+func newSlots(e sandbarrow.Evictor) *slots {
+	return &slots{
+		demands: map[sandbarrow.AdapterKey]*demand{},
+		evictor: e,
+		slots:   map[sandbarrow.AdapterKey]*slot{},
+		wants:   map[sandbarrow.AdapterKey]*want{},
+	}
+}
+
+// usable reports whether a slot can serve a version now.
+func (s *slot) usable(v sandbarrow.AdapterVersion) bool {
+	return s != nil && s.state == enginelink.SlotLoaded && s.version >= v
+}
+
+// ask grants a use at once, or queues it until settle.
+func (s *slots) ask(now time.Time, q *enginelink.Acquire, u *use) *waiter {
+	s.note(now, u.key)
+	w := &waiter{grant: make(chan enginelink.Grant, 1), use: u}
+	if sl := s.slots[u.key]; sl.usable(q.Version) {
+		s.grant(now, sl, w)
+		return w
+	}
+	wanted := s.wants[u.key]
+	if wanted == nil {
+		wanted = &want{key: u.key, priority: q.Priority, since: now}
+		s.wants[u.key] = wanted
+	}
+	wanted.priority = min(wanted.priority, q.Priority)
+	wanted.version = max(wanted.version, q.Version)
+	wanted.waiters = append(wanted.waiters, w)
+	return w
+}
+
+func (s *slots) grant(now time.Time, sl *slot, w *waiter) {
+	sl.uses++
+	sl.lastUsed = now
+	w.use.granted = true
+	w.grant <- enginelink.Grant{Version: sl.version}
+}
+
+func (s *slots) note(now time.Time, key sandbarrow.AdapterKey) {
+	d := s.demands[key]
+	if d == nil {
+		if len(s.demands) >= rememberedAdapters {
+			s.forget(now)
+		}
+		d = &demand{at: now}
+		s.demands[key] = d
+	}
+	d.add(now)
+}
+
+// forget drops the half of the demands that are least.
+func (s *slots) forget(now time.Time) {
+	keys := make([]sandbarrow.AdapterKey, 0, len(s.demands))
+	for k := range s.demands {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b sandbarrow.AdapterKey) int {
+		if s.demands[a].value(now) < s.demands[b].value(now) {
+			return -1
+		}
+		return 1
+	})
+	for _, k := range keys[:len(keys)/2] {
+		delete(s.demands, k)
+	}
+}
+
+// withdraw takes back a use that waits.
+func (s *slots) withdraw(w *waiter) {
+	wanted := s.wants[w.use.key]
+	if wanted == nil {
+		return
+	}
+	wanted.waiters = slices.DeleteFunc(wanted.waiters, func(other *waiter) bool { return other == w })
+	if len(wanted.waiters) == 0 {
+		delete(s.wants, w.use.key)
+	}
+}
+
+// release ends a granted use.
+func (s *slots) release(now time.Time, u *use) {
+	if sl := s.slots[u.key]; sl != nil && u.granted {
+		sl.uses = max(0, sl.uses-1)
+		sl.lastUsed = now
+	}
+	u.granted = false
+}
+
+// settle grants what waits for adapters that are loaded now.
+func (s *slots) settle(now time.Time) {
+	for key, wanted := range s.wants {
+		sl := s.slots[key]
+		if !sl.usable(wanted.version) {
+			continue
+		}
+		for _, w := range wanted.waiters {
+			s.grant(now, sl, w)
+		}
+		delete(s.wants, key)
+	}
+}
+
+// refuseAll refuses all that wait.
+func (s *slots) refuseAll(reason enginelink.RefuseReason) {
+	for key, wanted := range s.wants {
+		for _, w := range wanted.waiters {
+			w.grant <- enginelink.Grant{Refused: reason}
+		}
+		delete(s.wants, key)
+	}
+}
+
+// take brings the slots in line with what the engine reports.
+func (s *slots) take(now time.Time, models []sandbarrow.LoadedModel, coming []sandbarrow.ComingAdapter) {
+	held := map[sandbarrow.AdapterKey]bool{}
+	for _, m := range models {
+		for _, a := range m.Adapters {
+			key := sandbarrow.AdapterKey{Adapter: a.Adapter, Model: m.Model}
+			held[key] = true
+			s.holds(now, key, a.Version)
+		}
+	}
+	for _, c := range coming {
+		if held[c.Key] {
+			s.slots[c.Key].state = enginelink.SlotReplacing
+			continue
+		}
+		held[c.Key] = true
+		s.slots[c.Key] = s.kept(c.Key)
+		s.slots[c.Key].state = enginelink.SlotLoading
+		s.slots[c.Key].version = c.Version
+	}
+	for key := range s.slots {
+		if !held[key] {
+			delete(s.slots, key)
+		}
+	}
+}
+
+func (s *slots) kept(key sandbarrow.AdapterKey) *slot {
+	if sl := s.slots[key]; sl != nil {
+		return sl
+	}
+	return &slot{key: key}
+}
+
+func (s *slots) holds(now time.Time, key sandbarrow.AdapterKey, v sandbarrow.AdapterVersion) {
+	sl := s.kept(key)
+	if sl.state != enginelink.SlotLoaded {
+		sl.state, sl.loaded = enginelink.SlotLoaded, now
+		sl.lastUsed = now
+	}
+	sl.version = v
+	s.slots[key] = sl
+}
+
+// coming counts the adapters on their way.
+func (s *slots) coming() int {
+	n := 0
+	for _, sl := range s.slots {
+		if sl.state != enginelink.SlotLoaded {
+			n++
+		}
+	}
+	return n
+}
+
+// free counts the slots that are free or could be made free at once, less
+// those that waiting requests will take.
+func (s *slots) free() int {
+	n := s.capacity - len(s.slots)
+	for key, sl := range s.slots {
+		if sl.state == enginelink.SlotLoaded && sl.uses == 0 && s.wants[key] == nil {
+			n++
+		}
+	}
+	for key := range s.wants {
+		if s.slots[key] == nil {
+			n--
+		}
+	}
+	return n
+}
+
+// next chooses the next order, most urgent and oldest want first.
+func (s *slots) next(now time.Time) (sandbarrow.EngineOrder, bool) {
+	for _, wanted := range s.byUrgency() {
+		sl := s.slots[wanted.key]
+		switch {
+		case sl == nil:
+			if o, ok := s.bring(now, wanted); ok {
+				return o, true
+			}
+		case sl.state == enginelink.SlotLoaded && sl.version < wanted.version && sl.uses == 0 && s.coming() < maxComing:
+			return loadOrder(wanted), true
+		}
+	}
+	return sandbarrow.EngineOrder{}, false
+}
+
+func (s *slots) byUrgency() []*want {
+	list := make([]*want, 0, len(s.wants))
+	for _, w := range s.wants {
+		list = append(list, w)
+	}
+	slices.SortFunc(list, func(a, b *want) int {
+		if a.priority != b.priority {
+			return a.priority - b.priority
+		}
+		return a.since.Compare(b.since)
+	})
+	return list
+}
+
+func loadOrder(w *want) sandbarrow.EngineOrder {
+	return sandbarrow.EngineOrder{Adapter: w.key.Adapter, Load: true, Model: w.key.Model, Version: w.version}
+}
+
+// bring orders a load into a free slot, or frees one.
+func (s *slots) bring(now time.Time, w *want) (sandbarrow.EngineOrder, bool) {
+	if s.coming() >= maxComing {
+		return sandbarrow.EngineOrder{}, false
+	}
+	if len(s.slots) < s.capacity {
+		return loadOrder(w), true
+	}
+	var idle []sandbarrow.SlotView
+	var keys []sandbarrow.AdapterKey
+	for key, sl := range s.slots {
+		if sl.state != enginelink.SlotLoaded || sl.uses > 0 || s.wants[key] != nil {
+			continue
+		}
+		idle = append(idle, sandbarrow.SlotView{
+			Demand: s.rate(now, key), LastUsed: sl.lastUsed, Loaded: sl.loaded,
+			Model: sandbarrow.ModelRef{Adapter: key.Adapter},
+		})
+		keys = append(keys, key)
+	}
+	wanted := sandbarrow.SlotView{Demand: s.rate(now, w.key), LastUsed: now, Model: sandbarrow.ModelRef{Adapter: w.key.Adapter}}
+	victim, ok := s.evictor.Evict(now, wanted, idle)
+	if !ok {
+		return sandbarrow.EngineOrder{}, false
+	}
+	return sandbarrow.EngineOrder{Adapter: keys[victim].Adapter, Model: keys[victim].Model}, true
+}
+
+// rate is the decayed demand of an adapter in requests per second.
+func (s *slots) rate(now time.Time, key sandbarrow.AdapterKey) float64 {
+	d := s.demands[key]
+	if d == nil {
+		return 0
+	}
+	return d.value(now) * math.Ln2 / demandHalfLife.Seconds()
+}
+
+// ordered takes note of an order that the engine has accepted; done says that
+// it is carried out already. An adapter that is still to be unloaded keeps its
+// slot until the engine reports it gone.
+func (s *slots) ordered(now time.Time, o *sandbarrow.EngineOrder, done bool) {
+	key := sandbarrow.AdapterKey{Adapter: o.Adapter, Model: o.Model}
+	sl := s.slots[key]
+	switch {
+	case !o.Load && done:
+		delete(s.slots, key)
+	case !o.Load:
+		sl.state = enginelink.SlotReplacing
+	case sl != nil:
+		sl.state = enginelink.SlotReplacing
+	default:
+		s.slots[key] = &slot{key: key, lastUsed: now, state: enginelink.SlotLoading, version: o.Version}
+	}
+}
+
+// status lists the slots.
+func (s *slots) status() []enginelink.SlotStatus {
+	list := make([]enginelink.SlotStatus, 0, len(s.slots))
+	for key, sl := range s.slots {
+		list = append(list, enginelink.SlotStatus{AdapterKey: key, State: sl.state, Uses: sl.uses, Version: sl.version})
+	}
+	slices.SortFunc(list, func(a, b enginelink.SlotStatus) int {
+		if a.Adapter < b.Adapter {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
--- /dev/null
+++ b/directory/directory.go
@@ -0,0 +1,187 @@
+// Package directory holds which upstreams exist, as the platform's lagging
+// list tells. While the list can't be read, the last view holds.
+package directory
+
+import (
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sandbarrow.example/sandbarrow"
+)
+
+// View is an immutable list of upstreams.
+type View struct {
+	byService map[sandbarrow.ServiceID][]*sandbarrow.Instance
+}
+
+// Service returns the upstreams of a service, ordered by address.
+func (v *View) Service(id sandbarrow.ServiceID) []*sandbarrow.Instance {
+	if v == nil {
+		return nil
+	}
+	return v.byService[id]
+}
+
+// All returns all upstreams.
+func (v *View) All() []*sandbarrow.Instance {
+	var all []*sandbarrow.Instance
+	if v == nil {
+		return nil
+	}
+	for _, list := range v.byService {
+		all = append(all, list...)
+	}
+	return all
+}
+
+// vanishGrace is how long upstreams that left the list together stay in use:
+// leases that lapsed in an outage of the store look so, and the upstreams
+// list themselves again within a heartbeat.
+const vanishGrace = 1300 * time.Millisecond
+
+// massShare is the part of all upstreams whose leaving at once is taken for a
+// lapse of the store.
+const massShare = 3
+
+// listed is an instance with the revision of its entry.
+type listed struct {
+	instance sandbarrow.Instance
+	revision sandbarrow.StoreRevision
+}
+
+// Directory follows the list.
+type Directory struct {
+	list   sandbarrow.InstanceList
+	logger *slog.Logger
+	view   atomic.Pointer[View]
+
+	mu      sync.Mutex
+	fading  map[sandbarrow.InstanceID]bool
+	entries map[sandbarrow.InstanceID]listed
+}
+
+// New returns an empty directory.
+func New(list sandbarrow.InstanceList, logger *slog.Logger) *Directory {
+	return &Directory{
+		entries: map[sandbarrow.InstanceID]listed{},
+		fading:  map[sandbarrow.InstanceID]bool{},
+		list:    list,
+		logger:  logger,
+	}
+}
+
+// View returns the upstreams as they are known now.
+func (d *Directory) View() *View {
+	return d.view.Load()
+}
+
+// Replace takes the whole list.
+func (d *Directory) Replace(items []sandbarrow.KeyItem, _ sandbarrow.StoreRevision) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	present := map[sandbarrow.InstanceID]bool{}
+	for _, it := range items {
+		present[d.list.InstanceID(it.Key)] = true
+		d.put(it)
+	}
+	var gone []sandbarrow.InstanceID
+	for id := range d.entries {
+		if !present[id] {
+			gone = append(gone, id)
+		}
+	}
+	d.drop(gone)
+	d.publish()
+}
+
+// Update takes changes of the list.
+func (d *Directory) Update(items []sandbarrow.KeyItem, _ sandbarrow.StoreRevision) {
+	if len(items) == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	last := map[sandbarrow.InstanceID]bool{}
+	for _, it := range items {
+		last[d.list.InstanceID(it.Key)] = it.Gone
+		if !it.Gone {
+			d.put(it)
+		}
+	}
+	var gone []sandbarrow.InstanceID
+	for id, isGone := range last {
+		if isGone {
+			gone = append(gone, id)
+		}
+	}
+	d.drop(gone)
+	d.publish()
+}
+
+func (d *Directory) put(it sandbarrow.KeyItem) {
+	instance, err := d.list.Instance(it)
+	if err != nil {
+		d.logger.Warn("upstream entry refused, the last one stays", "key", it.Key, "error", err.Error())
+		return
+	}
+	old, known := d.entries[instance.ID]
+	if !known || old.instance.Leaving != instance.Leaving {
+		d.logger.Info("upstream listed", "upstream", string(instance.ID), "address", instance.Address,
+			"service", string(instance.Service), "leaving", instance.Leaving, "revision", uint64(it.Revision))
+	}
+	delete(d.fading, instance.ID)
+	d.entries[instance.ID] = listed{instance: instance, revision: it.Revision}
+}
+
+// drop removes upstreams that left the list, at once or after a grace where so
+// many left together that the store has more likely lost their leases.
+func (d *Directory) drop(gone []sandbarrow.InstanceID) {
+	gone = slices.DeleteFunc(gone, func(id sandbarrow.InstanceID) bool {
+		_, known := d.entries[id]
+		return !known
+	})
+	mass := len(gone) > 1 && len(gone)*massShare >= len(d.entries)
+	for _, id := range gone {
+		d.logger.Info("upstream no longer listed", "upstream", string(id), "address", d.entries[id].instance.Address, "together", len(gone))
+		if !mass {
+			delete(d.entries, id)
+			continue
+		}
+		d.fading[id] = true
+		time.AfterFunc(vanishGrace, func() { d.expire(id) })
+	}
+}
+
+// expire ends the grace of an upstream that has not listed itself again.
+func (d *Directory) expire(id sandbarrow.InstanceID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.fading[id] {
+		delete(d.fading, id)
+		delete(d.entries, id)
+		d.publish()
+	}
+}
+
+// publish makes a new view. Of several instances at one address the one whose
+// entry was written last is the one that runs.
+func (d *Directory) publish() {
+	newest := map[string]listed{}
+	for _, l := range d.entries {
+		if other, ok := newest[l.instance.Address]; !ok || l.revision > other.revision {
+			newest[l.instance.Address] = l
+		}
+	}
+	v := &View{byService: map[sandbarrow.ServiceID][]*sandbarrow.Instance{}}
+	for _, l := range newest {
+		v.byService[l.instance.Service] = append(v.byService[l.instance.Service], &l.instance)
+	}
+	for _, list := range v.byService {
+		slices.SortFunc(list, func(a, b *sandbarrow.Instance) int { return strings.Compare(a.Address, b.Address) })
+	}
+	d.view.Store(v)
+}
--- /dev/null
+++ b/enginelink/messages.go
@@ -0,0 +1,129 @@
+// Package enginelink holds the messages between gateways and the controllers
+// beside engines: JSON-RPC over one kept connection per pair.
+package enginelink
+
+import (
+	"time"
+
+	"sandbarrow.example/sandbarrow"
+)
+
+// The methods of a link.
+const (
+	// MethodAcquire asks a controller for the use of an adapter; a call.
+	MethodAcquire = "engine.acquire"
+	// MethodBegun tells a controller that a request's answer has begun.
+	MethodBegun = "engine.begun"
+	// MethodDone ends the use of an adapter.
+	MethodDone = "engine.done"
+	// MethodFetch reads what changed of the estate; a call.
+	MethodFetch = "estate.fetch"
+	// MethodHello opens a link.
+	MethodHello = "link.hello"
+	// MethodMark tells up to which revision the estate is complete.
+	MethodMark = "estate.mark"
+	// MethodStatus tells gateways of an engine.
+	MethodStatus = "engine.status"
+)
+
+const (
+	// Heartbeat is the longest pause between two statuses.
+	Heartbeat = 500 * time.Millisecond
+	// Silence is how long a controller may be silent before it counts as gone.
+	Silence = 3 * Heartbeat
+)
+
+// SlotState says what an engine does with an adapter.
+type SlotState string
+
+// The states of a slot.
+const (
+	SlotLoaded  SlotState = "loaded"
+	SlotLoading SlotState = "loading"
+	// SlotReplacing waits for runs on an older version to end.
+	SlotReplacing SlotState = "replacing"
+)
+
+// RefuseReason says why an acquire was refused.
+type RefuseReason string
+
+// The reasons of a refusal.
+const (
+	RefuseLeaving RefuseReason = "leaving"
+	// RefuseNoModel means that the engine does not hold the base model.
+	RefuseNoModel RefuseReason = "no-model"
+	// RefuseSilent means that the engine does not answer its controller.
+	RefuseSilent RefuseReason = "silent"
+	// RefuseSlots means that no slot came free in time.
+	RefuseSlots RefuseReason = "slots"
+)
+
+// Hello opens a link.
+type Hello struct {
+	Box sandbarrow.BoxID `json:"box"`
+	// Token is the newest fencing token that the gateway saw of this controller.
+	Token sandbarrow.FencingToken `json:"token"`
+}
+
+// Mark is the revision up to which a side's estate is complete.
+type Mark struct {
+	Revision sandbarrow.StoreRevision `json:"revision"`
+}
+
+// Estate answers a fetch.
+type Estate struct {
+	Items []sandbarrow.KeyItem     `json:"items"`
+	Mark  sandbarrow.StoreRevision `json:"mark"`
+}
+
+// Acquire asks for the use of an adapter, or of a base model alone.
+type Acquire struct {
+	Adapter  sandbarrow.AdapterID   `json:"adapter,omitempty"`
+	ID       sandbarrow.RequestID   `json:"id"`
+	Instance sandbarrow.InstanceID  `json:"instance"`
+	Model    sandbarrow.BaseModelID `json:"model"`
+	Priority int                    `json:"priority"`
+	Tokens   int                    `json:"tokens"`
+	// Version is the least version that may run.
+	Version sandbarrow.AdapterVersion `json:"version"`
+	// WaitMS is how long the gateway waits, in milliseconds.
+	WaitMS int64 `json:"wait_ms"`
+}
+
+// Grant answers an acquire.
+type Grant struct {
+	Refused RefuseReason              `json:"refused,omitempty"`
+	Version sandbarrow.AdapterVersion `json:"version,omitempty"`
+}
+
+// Use names the use of an adapter by one request.
+type Use struct {
+	ID sandbarrow.RequestID `json:"id"`
+}
+
+// SlotStatus is one adapter of an engine.
+type SlotStatus struct {
+	sandbarrow.AdapterKey
+	State   SlotState                 `json:"state"`
+	Uses    int                       `json:"uses"`
+	Version sandbarrow.AdapterVersion `json:"version"`
+}
+
+// Status is what a controller knows of its engine.
+type Status struct {
+	// Free counts the slots that are free or could be made free at once.
+	Free     int                      `json:"free"`
+	Instance sandbarrow.InstanceID    `json:"instance"`
+	Leaving  bool                     `json:"leaving"`
+	Models   []sandbarrow.BaseModelID `json:"models"`
+	// Recent lists adapters that left a slot lately and load fast.
+	Recent []sandbarrow.AdapterKey `json:"recent,omitempty"`
+	// Running counts granted uses.
+	Running int `json:"running"`
+	// Silent says that the engine does not answer.
+	Silent bool                    `json:"silent"`
+	Slots  []SlotStatus            `json:"slots"`
+	Token  sandbarrow.FencingToken `json:"token"`
+	// WaitingTokens are the prompts granted whose answer has not begun.
+	WaitingTokens int `json:"waiting_tokens"`
+}
--- /dev/null
+++ b/estate/estate.go
@@ -0,0 +1,151 @@
+// Package estate follows what the operators wrote: the table of routes and the
+// named versions of adapters. It learns from the platform's store and from
+// peers, merges by the store's revision of each key, and never goes back.
+package estate
+
+import (
+	"log/slog"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/route"
+)
+
+// Documents translates the operators' keys.
+type Documents interface {
+	// IsTable reports whether a key holds the table of routes.
+	IsTable(key string) bool
+	// Prefix is the prefix of the operators' keys.
+	Prefix() string
+	// Table reads the table of routes.
+	Table(text []byte) (*route.Table, error)
+	// Version reads a key that names an adapter version; ok is false for others.
+	Version(item sandbarrow.KeyItem) (key sandbarrow.AdapterKey, v sandbarrow.AdapterVersion, ok bool)
+}
+
+// View is an immutable state of the estate.
+type View struct {
+	// At is when the table came into force here.
+	At time.Time
+	// Revision is the store's revision of the table.
+	Revision sandbarrow.StoreRevision
+	Table    *route.Table
+	versions map[sandbarrow.AdapterKey]sandbarrow.AdapterVersion
+}
+
+// Version returns the newest named version of an adapter, or 0.
+func (v *View) Version(key sandbarrow.AdapterKey) sandbarrow.AdapterVersion {
+	return v.versions[key]
+}
+
+// Estate holds the newest state that this process has heard of.
+type Estate struct {
+	documents Documents
+	logger    *slog.Logger
+	view      atomic.Pointer[View]
+
+	mu      sync.Mutex
+	changed chan struct{}
+	items   map[string]sandbarrow.KeyItem
+	mark    sandbarrow.StoreRevision
+}
+
+// New returns an estate that knows nothing yet.
+func New(d Documents, logger *slog.Logger) *Estate {
+	return &Estate{changed: make(chan struct{}), documents: d, items: map[string]sandbarrow.KeyItem{}, logger: logger}
+}
+
+// View returns the state in force, or nil before the first table.
+func (e *Estate) View() *View {
+	return e.view.Load()
+}
+
+// Mark is the revision up to which this estate is complete, and a channel that
+// closes at its next change.
+func (e *Estate) Mark() (sandbarrow.StoreRevision, <-chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.mark, e.changed
+}
+
+// Since returns the items that changed after a revision, for a peer that is
+// complete up to it, and the revision that makes it complete.
+func (e *Estate) Since(after sandbarrow.StoreRevision) ([]sandbarrow.KeyItem, sandbarrow.StoreRevision) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var items []sandbarrow.KeyItem
+	for _, it := range e.items {
+		if it.Revision > after {
+			items = append(items, it)
+		}
+	}
+	slices.SortFunc(items, func(a, b sandbarrow.KeyItem) int { return int(a.Revision) - int(b.Revision) })
+	return items, e.mark
+}
+
+// Replace takes the whole prefix.
+func (e *Estate) Replace(items []sandbarrow.KeyItem, at sandbarrow.StoreRevision) {
+	e.Update(items, at)
+}
+
+// Update takes changes and the revision up to which they are complete.
+func (e *Estate) Update(items []sandbarrow.KeyItem, at sandbarrow.StoreRevision) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	news := false
+	for _, it := range items {
+		if it.Gone || it.Revision <= e.items[it.Key].Revision {
+			continue // a removed key keeps its last meaning: nothing goes back
+		}
+		e.items[it.Key] = it
+		news = true
+	}
+	e.mark = max(e.mark, at)
+	if !news {
+		return
+	}
+	e.compile(items)
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+// compile puts new items in force. A malformed one keeps the last good one.
+func (e *Estate) compile(items []sandbarrow.KeyItem) {
+	next := View{versions: map[sandbarrow.AdapterKey]sandbarrow.AdapterVersion{}}
+	if old := e.view.Load(); old != nil {
+		next = *old
+		next.versions = make(map[sandbarrow.AdapterKey]sandbarrow.AdapterVersion, len(old.versions))
+		for k, v := range old.versions {
+			next.versions[k] = v
+		}
+	}
+	for _, it := range items {
+		e.take(&next, it)
+	}
+	if next.Table != nil {
+		e.view.Store(&next)
+	}
+}
+
+func (e *Estate) take(next *View, it sandbarrow.KeyItem) {
+	if key, version, ok := e.documents.Version(it); ok {
+		if version > next.versions[key] {
+			next.versions[key] = version
+			e.logger.Info("adapter version named", "model", string(key.Model), "adapter", string(key.Adapter), "version", uint64(version), "revision", uint64(it.Revision))
+		}
+		return
+	}
+	if !e.documents.IsTable(it.Key) || it.Revision <= next.Revision {
+		return
+	}
+	table, err := e.documents.Table(it.Value)
+	if err != nil {
+		e.logger.Error("configuration refused, the last one stays", "key", it.Key, "revision", uint64(it.Revision), "error", err.Error())
+		return
+	}
+	next.Table, next.Revision, next.At = table, it.Revision, time.Now()
+	e.logger.Info("configuration in force", "version", table.Version, "revision", uint64(it.Revision))
+}
--- /dev/null
+++ b/gateway/choose.go
@@ -0,0 +1,186 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/enginelink"
+)
+
+// The parts of an upstream's cost, as the delay that each is expected to bring.
+const (
+	// tokenDelay is the time to read one token of a prompt.
+	tokenDelay = 52 * time.Microsecond
+	// runningDelay is what each running request slows another.
+	runningDelay = 3 * time.Millisecond
+	// loadDelay is the time to bring an adapter.
+	loadDelay = 280 * time.Millisecond
+	// comingDelay is what is left of a load under way, on average.
+	comingDelay = 140 * time.Millisecond
+	// copyDelay weighs the price of another copy of an adapter that another
+	// engine holds.
+	copyDelay = 350 * time.Millisecond
+	// replaceDelay is the time until the runs on an older version have ended.
+	replaceDelay = 900 * time.Millisecond
+	// noSlotDelay is the time until a slot comes free.
+	noSlotDelay = 1500 * time.Millisecond
+	// rankDelay keeps adapters on the first engines of their ranking.
+	rankDelay = 25 * time.Millisecond
+	// domainDelay prefers the own failure domain.
+	domainDelay = 4 * time.Millisecond
+	// blindDelay is the doubt about an engine without its controller.
+	blindDelay = 250 * time.Millisecond
+	// serviceDelay is the assumed work of a request at a plain service.
+	serviceDelay = 30 * time.Millisecond
+)
+
+// candidate is an engine that may serve a request.
+type candidate struct {
+	cost     time.Duration
+	held     bool
+	instance *sandbarrow.Instance
+	link     *engineLink
+	linked   bool
+	rank     uint64
+	status   enginelink.Status
+}
+
+// chooseEngine returns the engine with the least expected delay, or nil.
+func (g *Gateway) chooseEngine(c *call, excluded map[sandbarrow.InstanceID]bool) *candidate {
+	now := time.Now()
+	var list []*candidate
+	for _, in := range g.directory.View().Service(c.service.ID) {
+		if in.Leaving || excluded[in.ID] {
+			continue
+		}
+		e := &candidate{instance: in, link: g.engines.link(in.Address), rank: xxhash.Sum64String(c.affinity + "\x00" + in.Address)}
+		e.status, e.linked = e.link.look(now)
+		if e.linked && (e.status.Leaving || e.status.Silent) {
+			continue
+		}
+		list = append(list, e)
+	}
+	slices.SortFunc(list, func(a, b *candidate) int {
+		if a.rank > b.rank {
+			return -1
+		}
+		return 1
+	})
+	heldSomewhere := false
+	for _, e := range list {
+		e.held = e.holds(c)
+		heldSomewhere = heldSomewhere || e.held
+	}
+	var best *candidate
+	for place, e := range list {
+		if !e.price(g, now, c, place, heldSomewhere) {
+			continue
+		}
+		if best == nil || e.cost < best.cost {
+			best = e
+		}
+	}
+	return best
+}
+
+// holds reports whether the engine holds what the request needs, or brings it.
+func (e *candidate) holds(c *call) bool {
+	if !e.linked {
+		return holdsModel(e.instance.Models, c)
+	}
+	if c.key.Adapter == "" {
+		return slices.Contains(e.status.Models, c.key.Model)
+	}
+	slot := e.slot(c.key)
+	return slot != nil && slot.Version >= c.version
+}
+
+func (e *candidate) slot(key sandbarrow.AdapterKey) *enginelink.SlotStatus {
+	for i := range e.status.Slots {
+		if e.status.Slots[i].AdapterKey == key {
+			return &e.status.Slots[i]
+		}
+	}
+	return nil
+}
+
+func holdsModel(models []sandbarrow.LoadedModel, c *call) bool {
+	for _, m := range models {
+		if m.Model != c.key.Model {
+			continue
+		}
+		if c.key.Adapter == "" {
+			return true
+		}
+		for _, a := range m.Adapters {
+			if a.Adapter == c.key.Adapter && a.Version >= c.version {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// price computes the cost; false means that the engine can't serve the request.
+func (e *candidate) price(g *Gateway, now time.Time, c *call, place int, heldSomewhere bool) bool {
+	inFlight, penalty := g.health.look(now, e.instance.ID)
+	e.cost = penalty
+	if e.instance.FailureDomain != g.config.Domain {
+		e.cost += domainDelay
+	}
+	if !e.linked {
+		// Without its controller nothing can be loaded.
+		e.cost += blindDelay + time.Duration(inFlight)*3*runningDelay
+		return e.held
+	}
+	e.cost += time.Duration(e.status.WaitingTokens)*tokenDelay + time.Duration(e.status.Running)*runningDelay
+	if c.key.Adapter == "" {
+		e.cost += time.Duration(place) * rankDelay
+		return e.held
+	}
+	if !slices.Contains(e.status.Models, c.key.Model) {
+		return false
+	}
+	slot := e.slot(c.key)
+	switch {
+	case e.held && slot.State == enginelink.SlotLoaded:
+		return true
+	case e.held:
+		e.cost += comingDelay
+		return true
+	case slot != nil && slot.Uses > 0:
+		e.cost += replaceDelay
+	case slot == nil && e.status.Free <= 0:
+		e.cost += noSlotDelay
+	}
+	e.cost += loadDelay + time.Duration(place)*rankDelay
+	if heldSomewhere {
+		e.cost += copyDelay
+	}
+	return true
+}
+
+// choosePlain returns the upstream of a plain service with the least expected
+// delay, or nil.
+func (g *Gateway) choosePlain(c *call, excluded map[sandbarrow.InstanceID]bool) *sandbarrow.Instance {
+	now := time.Now()
+	var best *sandbarrow.Instance
+	var bestCost time.Duration
+	for _, in := range g.directory.View().Service(c.service.ID) {
+		if in.Leaving || excluded[in.ID] {
+			continue
+		}
+		inFlight, cost := g.health.look(now, in.ID)
+		cost += time.Duration(inFlight) * serviceDelay / time.Duration(max(1, in.Slots))
+		if in.FailureDomain != g.config.Domain {
+			cost += domainDelay
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = in, cost
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,204 @@
+// Package gateway is the process between callers and upstreams on the direct
+// path: it matches a request to a route, chooses an upstream, sends the request
+// there and passes the answer on unaltered. Engines' adapters are obtained from
+// the controllers beside them.
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+
+	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/directory"
+	"sandbarrow.example/sandbarrow/estate"
+	"sandbarrow.example/sandbarrow/forward"
+	"sandbarrow.example/sandbarrow/prefixwatch"
+	"sandbarrow.example/sandbarrow/retry"
+)
+
+const (
+	// estateWait is the longest wait of one watch of the estate.
+	estateWait = 3 * time.Second
+	// listWait and listPace bound the watch of the list of upstreams, whose
+	// heartbeats change it all the time.
+	listWait = 3 * time.Second
+	listPace = 1100 * time.Millisecond
+	// acceptAfterStop is how long a stopping gateway takes new connections,
+	// until the balancer has surely seen that it is not ready.
+	acceptAfterStop = 2600 * time.Millisecond
+	// stopMargin ends a planned stop before the platform does.
+	stopMargin = 300 * time.Millisecond
+	// headerTimeout bounds the arrival of a request's head.
+	headerTimeout = 5 * time.Second
+	// idleTimeout bounds the rest of a caller's connection.
+	idleTimeout = 60 * time.Second
+	// maxHeaderBytes is the technical bound; the estate's limit is checked too.
+	maxHeaderBytes = 64 << 10
+)
+
+// Config is what a Gateway needs.
+type Config struct {
+	// ControllerPort is the port of the controller on an engine's box.
+	ControllerPort string
+	Documents      estate.Documents
+	Domain         sandbarrow.FailureDomain
+	Box            sandbarrow.BoxID
+	Headers        sandbarrow.HeaderNames
+	Instances      sandbarrow.InstanceList
+	Logger         *slog.Logger
+	Metrics        prometheus.Registerer
+	// RetryShare is the share of a service's requests that may be sent again.
+	RetryShare float64
+	// RetryBurst is how many repeats a quiet time saves up, per service.
+	RetryBurst float64
+	StopGrace  time.Duration
+	Store      sandbarrow.PrefixStore
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	config    Config
+	directory *directory.Directory
+	engines   *engines
+	estate    *estate.Estate
+	health    *health
+	logger    *slog.Logger
+	metrics   *metrics
+	stopping  atomic.Pointer[time.Time]
+
+	mu      sync.Mutex
+	budgets map[sandbarrow.ServiceID]*retry.Budget
+	pools   map[sandbarrow.InstanceID]*forward.Pool
+}
+
+// New returns a gateway; Run starts it.
+func New(c Config) *Gateway {
+	g := &Gateway{
+		budgets:   map[sandbarrow.ServiceID]*retry.Budget{},
+		config:    c,
+		directory: directory.New(c.Instances, c.Logger),
+		estate:    estate.New(c.Documents, c.Logger),
+		health:    newHealth(),
+		logger:    c.Logger,
+		metrics:   newMetrics(c.Metrics),
+		pools:     map[sandbarrow.InstanceID]*forward.Pool{},
+	}
+	g.engines = newEngines(g)
+	return g
+}
+
+// Ready reports whether the balancer may send new connections.
+func (g *Gateway) Ready() bool {
+	return g.stopping.Load() == nil && g.estate.View() != nil && g.directory.View() != nil
+}
+
+// Run serves callers on listener until ctx ends and a planned stop is over.
+func (g *Gateway) Run(ctx context.Context, listener net.Listener) error {
+	work, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	server := &http.Server{
+		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: slog.NewLogLogger(g.logger.Handler(), slog.LevelDebug),
+	}
+	var group errgroup.Group
+	estateWatch := prefixwatch.Watch{
+		Consumer: g.estate, Logger: g.logger, Prefix: g.config.Documents.Prefix(), Store: g.config.Store, Wait: estateWait,
+	}
+	listWatch := prefixwatch.Watch{
+		Consumer: g.directory, Logger: g.logger, Pace: listPace, Prefix: g.config.Instances.Prefix(), Store: g.config.Store, Wait: listWait,
+	}
+	group.Go(func() error { return estateWatch.Run(work) })
+	group.Go(func() error { return listWatch.Run(work) })
+	group.Go(func() error { return g.engines.run(work) })
+	group.Go(func() error {
+		defer end()
+		return g.stop(ctx, server)
+	})
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		end()
+		return errors.Annotate(err, "serve callers")
+	}
+	return group.Wait()
+}
+
+// stop waits for ctx, then stops so that no request is cut: first the
+// balancer learns that this gateway is not ready, then it takes no more
+// connections, then what runs ends.
+func (g *Gateway) stop(ctx context.Context, server *http.Server) error {
+	<-ctx.Done()
+	began := time.Now()
+	g.stopping.Store(&began)
+	g.logger.Info("gateway stops", "grace", g.config.StopGrace.String())
+	time.Sleep(acceptAfterStop)
+	rest, cancel := context.WithDeadline(context.Background(), began.Add(g.config.StopGrace-stopMargin))
+	defer cancel()
+	if err := server.Shutdown(rest); err != nil {
+		g.logger.Warn("requests cut at the end of the grace", "error", err.Error())
+	}
+	g.logger.Info("gateway stopped", "took", time.Since(began).String())
+	return nil
+}
+
+// stopped returns how long this gateway has been stopping.
+func (g *Gateway) stopped() (time.Duration, bool) {
+	began := g.stopping.Load()
+	if began == nil {
+		return 0, false
+	}
+	return time.Since(*began), true
+}
+
+// budget returns the retry budget of a service.
+func (g *Gateway) budget(id sandbarrow.ServiceID) *retry.Budget {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.budgets[id]
+	if b == nil {
+		b = retry.NewBudgetOf(g.config.RetryShare, g.config.RetryBurst)
+		g.budgets[id] = b
+	}
+	return b
+}
+
+// pool returns the connections to an upstream.
+func (g *Gateway) pool(in *sandbarrow.Instance) *forward.Pool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.pools[in.ID]
+	if p == nil {
+		p = forward.NewPool(in.Address)
+		g.pools[in.ID] = p
+		g.closeGone()
+	}
+	return p
+}
+
+// closeGone drops the pools of upstreams that are no longer listed. The caller
+// holds mu.
+func (g *Gateway) closeGone() {
+	listed := map[sandbarrow.InstanceID]bool{}
+	for _, in := range g.directory.View().All() {
+		listed[in.ID] = true
+	}
+	for id, p := range g.pools {
+		if !listed[id] {
+			p.Close()
+			delete(g.pools, id)
+		}
+	}
+}
+
+// jitter spreads a pause by a half to both sides.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
--- /dev/null
+++ b/gateway/health.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"sandbarrow.example/sandbarrow"
+)
+
+const (
+	// failureHalfLife is the time in which the memory of failures halves.
+	failureHalfLife = 3 * time.Second
+	// failureWeight is what each answer moves the share of failures.
+	failureWeight = 0.25
+	// failurePenalty is what an upstream that always fails costs.
+	failurePenalty = 2 * time.Second
+)
+
+// upstreamHealth is what the answers of one upstream tell.
+type upstreamHealth struct {
+	at       time.Time
+	failures float64
+	inFlight int
+}
+
+// health keeps the health of upstreams by the outcomes of real requests alone.
+type health struct {
+	mu        sync.Mutex
+	upstreams map[sandbarrow.InstanceID]*upstreamHealth
+}
+
+func newHealth() *health {
+	return &health{upstreams: map[sandbarrow.InstanceID]*upstreamHealth{}}
+}
+
+// of returns the health of an upstream. The caller holds mu.
+func (h *health) of(id sandbarrow.InstanceID) *upstreamHealth {
+	u := h.upstreams[id]
+	if u == nil {
+		u = &upstreamHealth{}
+		h.upstreams[id] = u
+	}
+	return u
+}
+
+// share is the decayed share of failures from 0 to 1.
+func (u *upstreamHealth) share(now time.Time) float64 {
+	return u.failures * math.Exp2(-now.Sub(u.at).Seconds()/failureHalfLife.Seconds())
+}
+
+// begin counts a request that is sent.
+func (h *health) begin(id sandbarrow.InstanceID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.of(id).inFlight++
+}
+
+// end takes the outcome of a request.
+func (h *health) end(id sandbarrow.InstanceID, failed bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	u := h.of(id)
+	u.inFlight--
+	now := time.Now()
+	share := u.share(now) * (1 - failureWeight)
+	if failed {
+		share += failureWeight
+	}
+	u.failures, u.at = share, now
+}
+
+// look returns the requests in flight from here and the penalty for failures.
+func (h *health) look(now time.Time, id sandbarrow.InstanceID) (int, time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	u := h.upstreams[id]
+	if u == nil {
+		return 0, 0
+	}
+	return u.inFlight, time.Duration(u.share(now) * float64(failurePenalty))
+}
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics are the gateway's figures.
+type metrics struct {
+	first    *prometheus.HistogramVec
+	requests *prometheus.CounterVec
+	seconds  *prometheus.HistogramVec
+	sent     *prometheus.CounterVec
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	buckets := []float64{0.01, 0.03, 0.1, 0.2, 0.4, 0.7, 1, 2, 4, 8, 16}
+	m := &metrics{
+		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "sandbarrow_gateway_first_event_seconds", Help: "Time to the first event of a stream.", Buckets: buckets,
+		}, []string{"service"}),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sandbarrow_gateway_requests_total", Help: "Ended requests, by kind of route, status and reason.",
+		}, []string{"kind", "status", "reason"}),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "sandbarrow_gateway_request_seconds", Help: "Time to the end of a request.", Buckets: buckets,
+		}, []string{"kind"}),
+		sent: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sandbarrow_gateway_sent_total", Help: "Requests given to upstreams, by service and whether it was the first time.",
+		}, []string{"service", "first"}),
+	}
+	r.MustRegister(m.first, m.requests, m.seconds, m.sent)
+	return m
+}
+
+func (m *metrics) firstEvent(c *call, took time.Duration) {
+	m.first.WithLabelValues(string(c.service.ID)).Observe(took.Seconds())
+}
+
+// finished counts an ended call.
+func (m *metrics) finished(c *call, status int, why reason, took time.Duration) {
+	kind := "none"
+	if c.route != nil {
+		kind = string(c.route.Kind)
+	}
+	m.requests.WithLabelValues(kind, strconv.Itoa(status), string(why)).Inc()
+	m.seconds.WithLabelValues(kind).Observe(took.Seconds())
+	if c.service != nil && c.sent > 0 {
+		m.sent.WithLabelValues(string(c.service.ID), "true").Inc()
+		m.sent.WithLabelValues(string(c.service.ID), "false").Add(float64(c.sent - 1))
+	}
+}
--- /dev/null
+++ b/gateway/stream.go
@@ -0,0 +1,271 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/forward"
+)
+
+const (
+	// watchPause is the pause between looks at a stream's progress.
+	watchPause = 250 * time.Millisecond
+	// silentGap is how long a stream may pause when its engine is known to be silent.
+	silentGap = 400 * time.Millisecond
+	// longestGap is how long a begun stream may pause before it is taken elsewhere.
+	longestGap = 1800 * time.Millisecond
+	// firstGap is the same before the first event.
+	firstGap = 3 * time.Second
+	// acquireWait bounds the wait for an adapter at one engine.
+	acquireWait = 900 * time.Millisecond
+	// maxAcquires is at how many engines an adapter is asked for.
+	maxAcquires     = 4
+	streamMediaType = "text/event-stream"
+)
+
+// errStalled ends an attempt whose engine makes no progress.
+const errStalled = errors.ConstError("gateway: stream stalled")
+
+// verdict says how an attempt at an engine ended.
+type verdict int
+
+// The verdicts of an attempt.
+const (
+	// verdictAnswered means that the caller has its final answer.
+	verdictAnswered verdict = iota
+	// verdictBroken means that the request may have run.
+	verdictBroken
+	// verdictNotRun means that the request did not run.
+	verdictNotRun
+	// verdictNotSent means that no byte left.
+	verdictNotSent
+)
+
+// serveEngine serves a request that an engine runs.
+func (c *call) serveEngine(ctx context.Context) {
+	excluded := map[sandbarrow.InstanceID]bool{}
+	why := reasonNoUpstream
+	acquires := 0
+	for ctx.Err() == nil && time.Until(c.ends) > leastSend && acquires < maxAcquires {
+		e := c.gateway.chooseEngine(c, excluded)
+		if e == nil {
+			break
+		}
+		excluded[e.instance.ID] = true
+		grant, ok := c.acquire(ctx, e)
+		acquires++
+		if !ok {
+			why = reasonSlots
+			continue
+		}
+		if !c.mayRepeat() {
+			c.releaseUse(e)
+			why = reasonBudget
+			break
+		}
+		result := c.tryEngine(ctx, e, grant.Version)
+		c.releaseUse(e)
+		switch result {
+		case verdictAnswered:
+			return
+		case verdictBroken:
+			c.ran++
+			why = reasonBroken
+			if c.committed && !c.route.Repeatable() {
+				c.abort(reasonBroken)
+			}
+		case verdictNotRun:
+			why = reasonRefused
+		case verdictNotSent:
+			why = reasonNoUpstream
+		}
+	}
+	if c.committed {
+		c.abort(why)
+	}
+	c.giveUp(ctx, why)
+}
+
+// acquire obtains the use of the adapter at an engine. Without its controller
+// the request goes to an engine that is listed as holding the adapter, and the
+// engine itself refuses it where that is no longer so.
+func (c *call) acquire(ctx context.Context, e *candidate) (enginelink.Grant, bool) {
+	if !e.linked {
+		return enginelink.Grant{Version: c.version}, true
+	}
+	began := time.Now()
+	defer func() { c.acquired += time.Since(began) }()
+	wait := min(acquireWait, time.Until(c.ends))
+	g, ok := e.link.acquire(ctx, &enginelink.Acquire{
+		Adapter: c.key.Adapter, ID: sandbarrow.RequestID(c.id), Instance: e.instance.ID, Model: c.key.Model,
+		Priority: c.route.Priority, Tokens: c.tokens, Version: c.version, WaitMS: max(1, wait.Milliseconds()),
+	})
+	return g, ok && g.Refused == ""
+}
+
+func (c *call) releaseUse(e *candidate) {
+	if e.linked {
+		e.link.tell(enginelink.MethodDone, sandbarrow.RequestID(c.id))
+	}
+}
+
+// tryEngine sends the request to one engine and passes its answer on.
+func (c *call) tryEngine(ctx context.Context, e *candidate, version sandbarrow.AdapterVersion) verdict {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	p := &progress{start: time.Now()}
+	go c.watchProgress(ctx, cancel, e, p)
+	c.gateway.health.begin(e.instance.ID)
+	result := c.runEngine(ctx, e, version, p)
+	failed := result == verdictBroken && c.request.Context().Err() == nil || result == verdictNotSent
+	c.gateway.health.end(e.instance.ID, failed)
+	return result
+}
+
+func (c *call) runEngine(ctx context.Context, e *candidate, version sandbarrow.AdapterVersion, p *progress) verdict {
+	a, err := c.gateway.pool(e.instance).Send(ctx, c.upstreamRequest(e.instance, version))
+	if errors.Is(err, forward.ErrNotSent) {
+		return verdictNotSent
+	}
+	c.sent++
+	c.last = e.instance.ID
+	if err != nil {
+		return verdictBroken
+	}
+	defer a.Close()
+	if c.notRun(a) {
+		_, _ = a.Body(maxAnswerBytes) // read so that the connection can be kept
+		return verdictNotRun
+	}
+	if a.Status != http.StatusOK || !strings.HasPrefix(a.Header.Get("Content-Type"), streamMediaType) {
+		return c.passWhole(a)
+	}
+	return c.passEvents(a, e, p)
+}
+
+// passWhole passes on an answer that is no stream.
+func (c *call) passWhole(a *forward.Answer) verdict {
+	body, err := a.Body(maxAnswerBytes)
+	if err != nil || c.committed {
+		return verdictBroken
+	}
+	c.ran++
+	c.pass(&wholeAnswer{answer: a, body: body})
+	return verdictAnswered
+}
+
+// passEvents passes events on as they arrive, whole ones only, so that another
+// engine can continue after the last.
+func (c *call) passEvents(a *forward.Answer, e *candidate, p *progress) verdict {
+	control := http.NewResponseController(c.writer)
+	for {
+		event, err := a.Event()
+		if err == io.EOF && c.committed {
+			c.ran++
+			c.finish(a.Status, "")
+			return verdictAnswered
+		}
+		if err != nil {
+			return verdictBroken
+		}
+		p.touch()
+		if !c.follows(event) {
+			return verdictBroken
+		}
+		if !c.committed {
+			c.committed = true
+			c.copyHead(a)
+			c.writer.WriteHeader(a.Status)
+			if e.linked {
+				e.link.tell(enginelink.MethodBegun, sandbarrow.RequestID(c.id))
+			}
+			c.gateway.metrics.firstEvent(c, time.Since(c.began))
+		}
+		if _, err := c.writer.Write(event); err != nil {
+			return verdictBroken
+		}
+		if err := control.Flush(); err != nil {
+			return verdictBroken
+		}
+		c.events++
+	}
+}
+
+// follows reports whether an event continues what the caller has, and notes it.
+func (c *call) follows(event []byte) bool {
+	id := forward.EventID(event)
+	if id == "" {
+		return true
+	}
+	next, err := strconv.ParseInt(id, 10, 64)
+	last, lastErr := strconv.ParseInt(c.lastEvent, 10, 64)
+	if err == nil && lastErr == nil && next != last+1 {
+		return false
+	}
+	c.lastEvent = id
+	return true
+}
+
+// abort breaks off an answer that has begun, so that it does not look whole.
+func (c *call) abort(why reason) {
+	if c.request.Context().Err() != nil {
+		why = reasonLeft
+	}
+	c.finish(0, why)
+	panic(http.ErrAbortHandler)
+}
+
+// progress is when a stream last made progress.
+type progress struct {
+	// at is counted from start, on the steady clock.
+	at    atomic.Int64
+	begun atomic.Bool
+	start time.Time
+}
+
+func (p *progress) touch() {
+	p.begun.Store(true)
+	p.at.Store(int64(time.Since(p.start)))
+}
+
+// pause is how long there was no progress.
+func (p *progress) pause() time.Duration {
+	return time.Since(p.start) - time.Duration(p.at.Load())
+}
+
+// watchProgress ends an attempt that makes no progress, where the request may
+// be taken elsewhere.
+func (c *call) watchProgress(ctx context.Context, cancel context.CancelCauseFunc, e *candidate, p *progress) {
+	if !c.route.Repeatable() {
+		return
+	}
+	ticker := time.NewTicker(watchPause)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		limit := firstGap
+		if p.begun.Load() {
+			limit = longestGap
+		}
+		if status, linked := e.link.look(time.Now()); linked && status.Silent {
+			limit = silentGap
+		}
+		if p.pause() > limit {
+			cancel(errStalled)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/cmd/controllercmd.go
@@ -0,0 +1,49 @@
+package cmd
+
+import (
+	"context"
+	"net"
+
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+
+	"sandbarrow.example/sandbarrow/controller"
+	"sandbarrow.example/sandbarrow/platform"
+)
+
+// controllerCmd runs a controller.
+type controllerCmd struct {
+	ctx context.Context
+	out *output
+
+	Settings string `long:"settings" required:"true" env:"SANDBARROW_SETTINGS" value-name:"FILE" description:"settings file"`
+}
+
+// Execute runs the command.
+func (c *controllerCmd) Execute([]string) error {
+	tuneMemory()
+	d, err := newDaemon(c.Settings, c.out.stdout)
+	if err != nil {
+		return err
+	}
+	s := d.settings
+	if s.Controller == nil {
+		return errors.NotValidf("%s: no part controller", c.Settings)
+	}
+	client := platformClient()
+	k := controller.New(controller.Config{
+		Box: s.Box.ID, Control: platform.NewEngine(s.Controller.Engine, client), Documents: platform.Documents{},
+		Engine: s.Controller.Engine, Logger: d.logger, Metrics: d.registry, Service: s.Controller.Service,
+		Store: platform.NewStore(s.Platform.Store, client),
+	})
+	return d.run(c.ctx, "controller", func(ctx context.Context) error {
+		links, err := net.Listen("tcp", s.Listen.RPC)
+		if err != nil {
+			return errors.Annotatef(err, "listen.rpc %s", s.Listen.RPC)
+		}
+		g, ctx := errgroup.WithContext(ctx)
+		g.Go(func() error { return k.Run(ctx) })
+		g.Go(func() error { return k.Serve(ctx, links) })
+		return g.Wait()
+	})
+}
--- /dev/null
+++ b/internal/cmd/gatewaycmd.go
@@ -0,0 +1,72 @@
+package cmd
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+
+	"sandbarrow.example/sandbarrow/gateway"
+	"sandbarrow.example/sandbarrow/platform"
+)
+
+// gatewayCmd runs a gateway.
+type gatewayCmd struct {
+	ctx context.Context
+	out *output
+
+	Settings string `long:"settings" required:"true" env:"SANDBARROW_SETTINGS" value-name:"FILE" description:"settings file"`
+}
+
+// Execute runs the command.
+func (c *gatewayCmd) Execute([]string) error {
+	tuneMemory()
+	d, err := newDaemon(c.Settings, c.out.stdout)
+	if err != nil {
+		return err
+	}
+	s := d.settings
+	if s.Gateway == nil {
+		return errors.NotValidf("%s: no part gateway", c.Settings)
+	}
+	g := gateway.New(gateway.Config{
+		Box: s.Box.ID, ControllerPort: strconv.Itoa(s.Gateway.ControllerPort), Documents: platform.Documents{},
+		Domain: s.Box.FailureDomain, Headers: platform.Headers, Instances: platform.Instances{}, Logger: d.logger,
+		Metrics: d.registry, RetryBurst: s.Gateway.RetryBurst, RetryShare: s.Gateway.RetryShare,
+		StopGrace: time.Duration(s.Gateway.StopGrace), Store: platform.NewStore(s.Platform.Store, platformClient()),
+	})
+	return d.run(c.ctx, "gateway", func(ctx context.Context) error {
+		callers, err := net.Listen("tcp", s.Listen.HTTP)
+		if err != nil {
+			return errors.Annotatef(err, "listen.http %s", s.Listen.HTTP)
+		}
+		ready, err := net.Listen("tcp", s.Listen.Ready)
+		if err != nil {
+			return errors.Annotatef(err, "listen.ready %s", s.Listen.Ready)
+		}
+		return serveGateway(ctx, g, callers, ready)
+	})
+}
+
+// serveGateway runs a gateway with its readiness check, which answers until
+// the gateway has stopped.
+func serveGateway(ctx context.Context, g *gateway.Gateway, callers, ready net.Listener) error {
+	checks, stop := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error {
+		defer stop()
+		return g.Run(ctx, callers)
+	})
+	group.Go(func() error {
+		return serveHTTP(checks, ready, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if !g.Ready() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		}))
+	})
+	return group.Wait()
+}
--- /dev/null
+++ b/prefixwatch/prefixwatch.go
@@ -0,0 +1,106 @@
+// Package prefixwatch follows a prefix of the platform's store: it reads the
+// prefix whole, then watches it, and reads it whole again when the store has
+// forgotten the history in between.
+package prefixwatch
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/juju/errors"
+
+	"sandbarrow.example/sandbarrow"
+)
+
+const (
+	// slack is how much longer than its wait a watch may take.
+	slack = 1500 * time.Millisecond
+	// readTimeout bounds a read of the whole prefix.
+	readTimeout = 2 * time.Second
+	// firstPause and longestPause bound the pause after a failure, which doubles.
+	firstPause   = 100 * time.Millisecond
+	longestPause = 800 * time.Millisecond
+)
+
+// Consumer takes what a Watch reads.
+type Consumer interface {
+	// Replace takes the whole prefix as it stood at a revision.
+	Replace(items []sandbarrow.KeyItem, at sandbarrow.StoreRevision)
+	// Update takes changes up to a revision.
+	Update(items []sandbarrow.KeyItem, at sandbarrow.StoreRevision)
+}
+
+// Watch follows one prefix.
+type Watch struct {
+	Consumer Consumer
+	Logger   *slog.Logger
+	// Pace is the shortest time between two watches, so that a busy prefix
+	// costs few calls; changes in between arrive together.
+	Pace   time.Duration
+	Prefix string
+	Store  sandbarrow.PrefixStore
+	// Wait is the longest wait of one watch call.
+	Wait time.Duration
+}
+
+// Run follows the prefix until ctx ends.
+func (w *Watch) Run(ctx context.Context) error {
+	var at sandbarrow.StoreRevision
+	known, up := false, true
+	pause := firstPause
+	for ctx.Err() == nil {
+		began := time.Now()
+		next, err := w.step(ctx, at, known)
+		switch {
+		case err == nil:
+			if !up {
+				w.Logger.Info("store regained", "prefix", w.Prefix, "revision", uint64(next))
+			}
+			at, known, up, pause = next, true, true, firstPause
+			sleep(ctx, w.Pace-time.Since(began))
+		case ctx.Err() != nil:
+		default:
+			if errors.Is(err, sandbarrow.ErrStoreCompacted) {
+				known = false
+			}
+			if up {
+				w.Logger.Warn("store lost", "prefix", w.Prefix, "revision", uint64(at), "error", err.Error())
+			}
+			up = false
+			sleep(ctx, pause/2+rand.N(pause))
+			pause = min(2*pause, longestPause)
+		}
+	}
+	return nil
+}
+
+func (w *Watch) step(ctx context.Context, at sandbarrow.StoreRevision, known bool) (sandbarrow.StoreRevision, error) {
+	if !known {
+		ctx, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
+		items, at, err := w.Store.Range(ctx, w.Prefix)
+		if err == nil {
+			w.Consumer.Replace(items, at)
+		}
+		return at, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, w.Wait+slack)
+	defer cancel()
+	items, next, err := w.Store.WatchPrefix(ctx, w.Prefix, at, w.Wait)
+	if err == nil {
+		w.Consumer.Update(items, next)
+	}
+	return next, err
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -10,20 +10,26 @@
 // a load that the fleet already fails to bear.
 type Budget struct {
 	mu    sync.Mutex
+	most  float64
 	saved float64
 	share float64
 }
 
 // NewBudget returns a full budget for a share from 0 to 1.
 func NewBudget(share float64) *Budget {
-	return &Budget{saved: maxSaved, share: share}
+	return NewBudgetOf(share, maxSaved)
+}
+
+// NewBudgetOf returns a full budget that saves up at most so many retries.
+func NewBudgetOf(share, most float64) *Budget {
+	return &Budget{most: most, saved: most, share: share}
 }
 
 // Request counts a first try.
 func (b *Budget) Request() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.saved = min(maxSaved, b.saved+b.share)
+	b.saved = min(b.most, b.saved+b.share)
 }
 
 // Retry takes one retry, or reports that there is none.
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,176 @@
+// Package route holds the table by which requests are matched to services:
+// by host and longest path prefix.
+package route
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"sandbarrow.example/sandbarrow"
+)
+
+// Kind says what may be done with a request of a route.
+type Kind string
+
+// The kinds of a route.
+const (
+	// KindSafe requests may run more than once.
+	KindSafe Kind = "safe"
+	// KindStream requests are answered by events.
+	KindStream Kind = "stream"
+	// KindUnsafe requests run at most once.
+	KindUnsafe Kind = "unsafe"
+)
+
+// ErrInvalid is the error of a table that contradicts itself.
+const ErrInvalid = errors.ConstError("route: invalid table")
+
+// Target is a service that a share of a route's requests goes to.
+type Target struct {
+	Service sandbarrow.ServiceID
+	Weight  int
+}
+
+// Route says how the requests under a host and path prefix are handled.
+type Route struct {
+	Host string
+	Kind Kind
+	// MaxAttempts is the largest number of upstreams for one request.
+	MaxAttempts int
+	// MaxGap is the longest pause between events of an answer in time.
+	MaxGap time.Duration
+	Name   string
+	// Objective is the time within which an answer earns full credit.
+	Objective time.Duration
+	Prefix    string
+	// Priority is 0 for the most urgent.
+	Priority int
+	// Resumable streams may be continued at another upstream.
+	Resumable bool
+	Targets   []Target
+	// Timeout is the longest time that a request is held.
+	Timeout time.Duration
+}
+
+// Repeatable reports whether a request may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == KindSafe || r.Kind == KindStream && r.Resumable
+}
+
+// Service picks the target for a point from 0 up to 1.
+func (r *Route) Service(point float64) sandbarrow.ServiceID {
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	left := point * float64(total)
+	for _, t := range r.Targets {
+		left -= float64(t.Weight)
+		if left < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// Model is a base model that the engines of a service may hold.
+type Model struct {
+	AdapterMegabytes float64
+	ID               sandbarrow.BaseModelID
+	LoadTime         time.Duration
+	Megabytes        float64
+}
+
+// Engine describes the engines of a service.
+type Engine struct {
+	AdapterSlots int
+	// Megabytes is the room for base models and adapters.
+	Megabytes float64
+	Models    []Model
+	// Slots is the number of requests in one batch.
+	Slots int
+	// Tokens is the memory for prompts.
+	Tokens int
+}
+
+// Service is a set of upstreams that serve the same requests.
+type Service struct {
+	// Engine is nil for plain services.
+	Engine *Engine
+	ID     sandbarrow.ServiceID
+	// MaxConnections is what one upstream bears from all callers.
+	MaxConnections int
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	IdleTimeout    time.Duration
+	MaxBodyBytes   int
+	MaxHeaderBytes int
+}
+
+// Table is an immutable set of routes and services.
+type Table struct {
+	Limits   Limits
+	Services map[sandbarrow.ServiceID]*Service
+	// Version is the operators' own number of the table.
+	Version uint64
+
+	hosts map[string][]*Route
+}
+
+// NewTable checks and indexes routes and services.
+func NewTable(version uint64, routes []Route, services []Service, limits Limits) (*Table, error) {
+	t := &Table{
+		Limits:   limits,
+		Services: make(map[sandbarrow.ServiceID]*Service, len(services)),
+		Version:  version,
+		hosts:    map[string][]*Route{},
+	}
+	for i := range services {
+		t.Services[services[i].ID] = &services[i]
+	}
+	for i := range routes {
+		if err := t.add(&routes[i]); err != nil {
+			return nil, err
+		}
+	}
+	for _, byHost := range t.hosts {
+		slices.SortFunc(byHost, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return t, nil
+}
+
+func (t *Table) add(r *Route) error {
+	if r.Host == "" || !strings.HasPrefix(r.Prefix, "/") {
+		return errors.Annotatef(ErrInvalid, "route %q: host %q and prefix %q", r.Name, r.Host, r.Prefix)
+	}
+	if len(r.Targets) == 0 {
+		return errors.Annotatef(ErrInvalid, "route %q names no service", r.Name)
+	}
+	for _, target := range r.Targets {
+		if t.Services[target.Service] == nil || target.Weight < 0 {
+			return errors.Annotatef(ErrInvalid, "route %q: service %q weight %d", r.Name, target.Service, target.Weight)
+		}
+	}
+	if r.MaxAttempts < 1 {
+		r.MaxAttempts = 1
+	}
+	host := strings.ToLower(r.Host)
+	t.hosts[host] = append(t.hosts[host], r)
+	return nil
+}
+
+// Match finds the route of a request, or nil. A port in host is ignored.
+func (t *Table) Match(host, path string) *Route {
+	host, _, _ = strings.Cut(strings.ToLower(host), ":")
+	for _, r := range t.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -24,6 +24,11 @@
 	KindService UpstreamKind = "service"
 )
 
+// EnvironmentVariable names the settings file where no flag does.
+const EnvironmentVariable = "SANDBARROW_SETTINGS"
+
+const maxPort = 65535
+
 // Agent is the part of an agent alone.
 type Agent struct {
 	// LeaseTTL is the life of the lease on the upstream.
@@ -40,6 +45,26 @@
 	ID            sandbarrow.BoxID         `json:"id"`
 }
 
+// Controller is the part of a controller alone.
+type Controller struct {
+	// Engine is the engine's address, on the same box.
+	Engine string `json:"engine"`
+	// Service is the service that the engine belongs to.
+	Service sandbarrow.ServiceID `json:"service"`
+}
+
+// Gateway is the part of a gateway alone.
+type Gateway struct {
+	// ControllerPort is the port of the controllers on the engines' boxes.
+	ControllerPort int `json:"controller_port"`
+	// RetryBurst is how many repeats a quiet time saves up, per service.
+	RetryBurst float64 `json:"retry_burst"`
+	// RetryShare is the share of a service's requests that may be sent again.
+	RetryShare float64 `json:"retry_share"`
+	// StopGrace bounds a planned stop; what still runs then is cut.
+	StopGrace jsonc.Duration `json:"stop_grace"`
+}
+
 // Entry is the part of an entry alone.
 type Entry struct {
 	// DefaultDeadline bounds requests that state none.
@@ -54,9 +79,13 @@
 
 // Listen holds the process's own addresses.
 type Listen struct {
-	// HTTP serves callers (entry) and metrics.
+	// HTTP serves callers (entry, gateway) and metrics (entry, agent).
 	HTTP string `json:"http"`
-	// RPC serves entries (agent).
+	// Metrics serves the metrics of a gateway or controller.
+	Metrics string `json:"metrics"`
+	// Ready serves the balancer's readiness check of a gateway.
+	Ready string `json:"ready"`
+	// RPC serves entries (agent) or gateways (controller).
 	RPC string `json:"rpc"`
 }
 
@@ -78,12 +107,14 @@
 
 // Settings are all settings of one process.
 type Settings struct {
-	Agent    *Agent   `json:"agent"`
-	Box      Box      `json:"box"`
-	Entry    *Entry   `json:"entry"`
-	Listen   Listen   `json:"listen"`
-	Log      Log      `json:"log"`
-	Platform Platform `json:"platform"`
+	Agent      *Agent      `json:"agent"`
+	Box        Box         `json:"box"`
+	Controller *Controller `json:"controller"`
+	Entry      *Entry      `json:"entry"`
+	Gateway    *Gateway    `json:"gateway"`
+	Listen     Listen      `json:"listen"`
+	Log        Log         `json:"log"`
+	Platform   Platform    `json:"platform"`
 }
 
 // Upstream describes the back end of an agent.
@@ -142,6 +173,11 @@
 		setDefault(&e.RetryShare, 0.1)
 		setDefault(&e.StopGrace, jsonc.Duration(120*time.Second))
 	}
+	if g := s.Gateway; g != nil {
+		setDefault(&g.RetryBurst, 7)
+		setDefault(&g.RetryShare, 0.1)
+		setDefault(&g.StopGrace, jsonc.Duration(8*time.Second))
+	}
 	if a := s.Agent; a != nil {
 		setDefault(&a.LeaseTTL, jsonc.Duration(6*time.Second))
 		setDefault(&a.StopGrace, jsonc.Duration(120*time.Second))
@@ -183,18 +219,54 @@
 func (c *checker) settings(s *Settings) {
 	c.require(s.Box.ID != "", "box.id", "is missing")
 	c.require(s.Box.FailureDomain != "", "box.failure_domain", "is missing")
-	c.address("listen.http", s.Listen.HTTP)
+	if s.Controller == nil {
+		c.address("listen.http", s.Listen.HTTP)
+	}
 	c.url("platform.store", s.Platform.Store)
 	c.require(s.Log.Format == "json" || s.Log.Format == "text", "log.format", "%q: want \"json\" or \"text\"", s.Log.Format)
 	var level slog.Level
 	c.require(level.UnmarshalText([]byte(s.Log.Level)) == nil, "log.level", "%q: want debug, info, warn or error", s.Log.Level)
-	c.require((s.Entry == nil) != (s.Agent == nil), "", "exactly one of the parts entry and agent must stand")
+	c.require(s.parts() == 1, "", "exactly one of the parts agent, controller, entry and gateway must stand")
 	if s.Entry != nil {
 		c.entry(s)
 	}
 	if s.Agent != nil {
 		c.agent(s)
 	}
+	if s.Controller != nil {
+		c.controller(s)
+	}
+	if s.Gateway != nil {
+		c.gateway(s)
+	}
+}
+
+// parts counts the parts of single roles.
+func (s *Settings) parts() int {
+	n := 0
+	for _, stands := range []bool{s.Agent != nil, s.Controller != nil, s.Entry != nil, s.Gateway != nil} {
+		if stands {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *checker) controller(s *Settings) {
+	c.address("listen.rpc", s.Listen.RPC)
+	c.address("listen.metrics", s.Listen.Metrics)
+	c.address("controller.engine", s.Controller.Engine)
+	c.require(s.Controller.Service != "", "controller.service", "is missing")
+}
+
+func (c *checker) gateway(s *Settings) {
+	g := s.Gateway
+	c.address("listen.ready", s.Listen.Ready)
+	c.address("listen.metrics", s.Listen.Metrics)
+	c.require(g.ControllerPort > 0 && g.ControllerPort <= maxPort, "gateway.controller_port", "%d is no port", g.ControllerPort)
+	c.require(g.RetryBurst >= 0, "gateway.retry_burst", "must not be negative")
+	c.require(g.RetryShare >= 0 && g.RetryShare <= 1, "gateway.retry_share", "%v: want 0 to 1", g.RetryShare)
+	c.require(g.StopGrace > 0, "gateway.stop_grace", "must be positive")
 }
 
 func (c *checker) entry(s *Settings) {
