Address each order to one start of the engine

Reports do not tell the instance, so orders named none. Ruled out: two orders in one report (the sequence refuses the second). Change: the controller asks the health check once per start which instance answers and names it in every order; a silent, restarted or other engine is asked again. Test: TestLateOrderMissesNextStart fails without it.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -56,13 +56,15 @@
 
 	mu            sync.Mutex
 	failedReports int
-	links         map[*link]bool
-	recent        []sandbarrow.AdapterKey
-	reported      sandbarrow.EngineReport
-	sequence      uint64
-	slots         *slots
-	stopping      bool
-	token         sandbarrow.FencingToken
+	// instance is the engine's start, or "" while it is not known.
+	instance sandbarrow.InstanceID
+	links    map[*link]bool
+	recent   []sandbarrow.AdapterKey
+	reported sandbarrow.EngineReport
+	sequence uint64
+	slots    *slots
+	stopping bool
+	token    sandbarrow.FencingToken
 }
 
 // New returns a controller; Run starts it.
@@ -157,7 +159,7 @@
 // status describes the engine. The caller holds mu.
 func (c *Controller) status() enginelink.Status {
 	s := enginelink.Status{
-		Free: c.slots.free(), Instance: c.reported.Instance, Leaving: c.reported.Leaving || c.stopping,
+		Free: c.slots.free(), Instance: c.instance, Leaving: c.reported.Leaving || c.stopping,
 		Silent: c.failedReports >= silentAfter, Slots: c.slots.status(), Token: c.token,
 	}
 	for _, m := range c.reported.Models {
--- /dev/null
+++ b/controller/controller_test.go
@@ -0,0 +1,195 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+
+	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/route"
+)
+
+const (
+	testModel   = sandbarrow.BaseModelID("base")
+	testService = sandbarrow.ServiceID("engines")
+	testSlots   = 3
+)
+
+// testDocuments reads a table from the key "table" and versions from others.
+type testDocuments struct{}
+
+func (testDocuments) IsTable(key string) bool { return key == "table" }
+func (testDocuments) Prefix() string          { return "" }
+func (testDocuments) Table([]byte) (*route.Table, error) {
+	return route.NewTable(1, nil, []route.Service{{
+		ID: testService, HealthPath: "/health",
+		Engine: &route.Engine{AdapterSlots: testSlots, Models: []route.Model{{ID: testModel}}},
+	}}, route.Limits{})
+}
+func (testDocuments) Version(it sandbarrow.KeyItem) (sandbarrow.AdapterKey, sandbarrow.AdapterVersion, bool) {
+	if it.Key == "table" {
+		return sandbarrow.AdapterKey{}, 0, false
+	}
+	return key(it.Key), sandbarrow.AdapterVersion(it.Value[0]), true
+}
+
+// testStore only gives tokens.
+type testStore struct{ revision sandbarrow.StoreRevision }
+
+func (s *testStore) Commit(context.Context, sandbarrow.Transaction) (sandbarrow.StoreRevision, error) {
+	s.revision++
+	return s.revision, nil
+}
+
+func (s *testStore) Range(context.Context, string) ([]sandbarrow.KeyItem, sandbarrow.StoreRevision, error) {
+	return nil, 0, sandbarrow.ErrStoreUnavailable
+}
+
+func (s *testStore) WatchPrefix(context.Context, string, sandbarrow.StoreRevision, time.Duration) ([]sandbarrow.KeyItem, sandbarrow.StoreRevision, error) {
+	return nil, 0, sandbarrow.ErrStoreUnavailable
+}
+
+func key(adapter string) sandbarrow.AdapterKey {
+	return sandbarrow.AdapterKey{Adapter: sandbarrow.AdapterID(adapter), Model: testModel}
+}
+
+func newTestController(t *testing.T, f *fakeEngine) *Controller {
+	t.Helper()
+	c := New(Config{
+		Box: "box", Control: f, Documents: testDocuments{}, Engine: "127.0.0.1:1", Logger: slog.New(slog.DiscardHandler),
+		Metrics: prometheus.NewRegistry(), Service: testService, Store: &testStore{},
+	})
+	c.estate.Update([]sandbarrow.KeyItem{{Key: "table", Revision: 1, Value: []byte("{}")}}, 1)
+	c.renewToken(t.Context())
+	return c
+}
+
+// step reads one report and gives the orders that are due.
+func step(t *testing.T, c *Controller) {
+	t.Helper()
+	report, err := c.report(t.Context())
+	c.takeReport(report, err)
+	if err == nil {
+		c.giveOrders(t.Context(), report.Sequence)
+	}
+}
+
+// ask asks for an adapter as a gateway would.
+func ask(c *Controller, adapter string, v sandbarrow.AdapterVersion) (*waiter, *use) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u := &use{key: key(adapter)}
+	return c.slots.ask(c.now(), &enginelink.Acquire{Version: v}, u), u
+}
+
+func TestEmptyEngineGetsItsBaseModel(t *testing.T) {
+	f := newFakeEngine(testSlots)
+	c := newTestController(t, f)
+	step(t, c)
+	assert.DeepEqual(t, f.models, []sandbarrow.BaseModelID{testModel})
+}
+
+func TestGrantAfterLoad(t *testing.T) {
+	f := newFakeEngine(testSlots)
+	c := newTestController(t, f)
+	step(t, c)
+	w, _ := ask(c, "a", 2)
+	step(t, c)
+	step(t, c)
+	g := <-w.grant
+	assert.Equal(t, g.Version, sandbarrow.AdapterVersion(2))
+}
+
+// An order that got no answer before a restart must not be carried out by the
+// next start, whose sequence comes to the same number.
+func TestLateOrderMissesNextStart(t *testing.T) {
+	f := newFakeEngine(testSlots)
+	c := newTestController(t, f)
+	step(t, c)
+	f.loseNext = 1
+	_, _ = ask(c, "late", 0)
+	step(t, c) // sent at sequence 1, without answer
+	assert.Equal(t, len(f.late), 1)
+	f.restart()
+	step(t, c) // notices the restart, loads the base model: sequence 1 again
+	c.mu.Lock()
+	c.slots.refuseAll(enginelink.RefuseSlots)
+	c.mu.Unlock()
+	f.carryOutLate()
+	assert.Equal(t, len(f.loaded), 0, "a late order of the time before the restart was carried out")
+}
+
+// However many orders get no answer and come late, the engine is never ordered
+// to hold more than it has slots.
+func TestLateOrdersNeverOverfill(t *testing.T) {
+	f := newFakeEngine(testSlots)
+	c := newTestController(t, f)
+	step(t, c)
+	for i := range 60 {
+		if i%3 == 0 {
+			f.loseNext = 1
+		}
+		_, _ = ask(c, fmt.Sprintf("a%d", i%11), 0)
+		step(t, c)
+		if i%5 == 0 {
+			f.carryOutLate()
+		}
+		step(t, c)
+		assert.Assert(t, !f.overfull, "after %d requests", i)
+	}
+}
+
+// An adapter in use keeps its slot.
+func TestUsedAdapterStays(t *testing.T) {
+	f := newFakeEngine(testSlots)
+	c := newTestController(t, f)
+	step(t, c)
+	var uses []*use
+	for i := range testSlots {
+		_, u := ask(c, fmt.Sprintf("used%d", i), 0)
+		uses = append(uses, u)
+	}
+	step(t, c)
+	step(t, c)
+	_, _ = ask(c, "other", 0)
+	step(t, c)
+	step(t, c)
+	for i := range testSlots {
+		_, held := f.loaded[key(fmt.Sprintf("used%d", i))]
+		assert.Assert(t, held, "used%d", i)
+	}
+	c.mu.Lock()
+	c.slots.release(c.now(), uses[1])
+	c.mu.Unlock()
+	step(t, c)
+	step(t, c)
+	_, held := f.loaded[key("other")]
+	assert.Assert(t, held, "a slot came free")
+}
+
+// A version that is named while the older one runs replaces it after the runs,
+// and nothing is granted on the older one meanwhile.
+func TestNewVersionReplacesAfterRuns(t *testing.T) {
+	f := newFakeEngine(testSlots)
+	c := newTestController(t, f)
+	step(t, c)
+	_, running := ask(c, "a", 1)
+	step(t, c)
+	step(t, c)
+	w, _ := ask(c, "a", 2)
+	step(t, c)
+	assert.Equal(t, f.loaded[key("a")], sandbarrow.AdapterVersion(1))
+	assert.Equal(t, len(w.grant), 0)
+	c.mu.Lock()
+	c.slots.release(c.now(), running)
+	c.mu.Unlock()
+	step(t, c)
+	step(t, c)
+	assert.Equal(t, (<-w.grant).Version, sandbarrow.AdapterVersion(2))
+}
--- a/controller/engineloop.go
+++ b/controller/engineloop.go
@@ -24,6 +24,8 @@
 	silentAfter = 2
 	// conflictPause follows an order that conflicts with another.
 	conflictPause = 20 * time.Millisecond
+	// identifyPause follows a failed look at which instance answers.
+	identifyPause = 500 * time.Millisecond
 )
 
 // engineLoop reads reports and gives orders, one at a time, until ctx ends.
@@ -56,6 +58,7 @@
 	defer c.mu.Unlock()
 	if err != nil {
 		c.failedReports++
+		c.instance = ""
 		if c.failedReports == silentAfter {
 			c.logger.Warn("engine lost", "error", err.Error())
 			c.slots.refuseAll(enginelink.RefuseSilent)
@@ -66,9 +69,9 @@
 		c.logger.Info("engine regained", "sequence", r.Sequence)
 	}
 	c.failedReports = 0
-	restarted := r.Sequence < c.sequence || r.Instance != "" && c.reported.Instance != "" && r.Instance != c.reported.Instance
-	if restarted {
-		c.logger.Warn("engine restarted", "sequence", r.Sequence, "before", c.sequence, "instance", string(r.Instance))
+	if r.Sequence < c.sequence {
+		c.logger.Warn("engine restarted", "sequence", r.Sequence, "before", c.sequence, "instance", string(c.instance))
+		c.instance = ""
 	}
 	if r.Leaving && !c.reported.Leaving {
 		c.logger.Info("engine leaves")
@@ -85,8 +88,41 @@
 	return idlePoll
 }
 
+// identify learns which instance answers, so that no order, however late, is
+// carried out by the next one.
+func (c *Controller) identify(ctx context.Context) bool {
+	view := c.estate.View()
+	c.mu.Lock()
+	known := c.instance != ""
+	c.mu.Unlock()
+	if known {
+		return true
+	}
+	if view == nil || view.Table.Services[c.service] == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	id, err := c.control.Identify(ctx, view.Table.Services[c.service].HealthPath)
+	if err != nil {
+		c.logger.Warn("engine not identified", "error", err.Error())
+		return false
+	}
+	c.logger.Info("engine identified", "instance", string(id))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.instance = id
+	return true
+}
+
 // giveOrders gives orders until none is due and returns when to look again.
 func (c *Controller) giveOrders(ctx context.Context, sequence uint64) time.Duration {
+	if !c.wantsOrder() {
+		return idlePoll
+	}
+	if !c.identify(ctx) {
+		return identifyPause
+	}
 	for ctx.Err() == nil {
 		o, ok := c.nextOrder(sequence)
 		if !ok {
@@ -141,8 +177,13 @@
 // repeated blindly: the next report tells whether the sequence has moved, and
 // any later order moves it, so that a late one no longer fits.
 func (c *Controller) afterFailedOrder(ctx context.Context, err error) time.Duration {
-	if errors.Is(err, sandbarrow.ErrOrderFenced) {
+	switch {
+	case errors.Is(err, sandbarrow.ErrOrderFenced):
 		c.renewToken(ctx)
+	case errors.Is(err, sandbarrow.ErrOrderMisdirected):
+		c.mu.Lock()
+		c.instance = ""
+		c.mu.Unlock()
 	}
 	return conflictPause
 }
@@ -174,11 +215,13 @@
 		key := sandbarrow.AdapterKey{Adapter: o.Adapter, Model: o.Model}
 		o.Version = max(o.Version, view.Version(key))
 	}
-	o.Expected, o.Holder, o.Instance, o.Token = sequence, c.box, c.instance(), c.token
+	o.Expected, o.Holder, o.Instance, o.Token = sequence, c.box, c.instance, c.token
 	return o, ok
 }
 
-// instance is the engine's start as far as it is known.
-func (c *Controller) instance() sandbarrow.InstanceID {
-	return c.reported.Instance
+// wantsOrder reports whether there may be an order to give.
+func (c *Controller) wantsOrder() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.reported.Leaving && (len(c.reported.Models) == 0 || len(c.slots.wants) > 0)
 }
--- /dev/null
+++ b/controller/fakeengine_test.go
@@ -0,0 +1,116 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"sandbarrow.example/sandbarrow"
+)
+
+// fakeEngine is an engine that can restart, lose answers and carry out orders late.
+type fakeEngine struct {
+	mu       sync.Mutex
+	slots    int
+	instance int
+	sequence uint64
+	loaded   map[sandbarrow.AdapterKey]sandbarrow.AdapterVersion
+	models   []sandbarrow.BaseModelID
+	token    sandbarrow.FencingToken
+	// loseNext makes the next orders get no answer; late keeps them.
+	loseNext int
+	late     []sandbarrow.EngineOrder
+	given    []sandbarrow.EngineOrder
+	overfull bool
+	leaving  bool
+	silent   bool
+}
+
+func newFakeEngine(slots int) *fakeEngine {
+	return &fakeEngine{slots: slots, loaded: map[sandbarrow.AdapterKey]sandbarrow.AdapterVersion{}}
+}
+
+func (f *fakeEngine) id() sandbarrow.InstanceID {
+	return sandbarrow.InstanceID(fmt.Sprintf("start-%d", f.instance))
+}
+
+func (f *fakeEngine) Identify(context.Context, string) (sandbarrow.InstanceID, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.id(), nil
+}
+
+func (f *fakeEngine) Report(context.Context) (sandbarrow.EngineReport, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.silent {
+		return sandbarrow.EngineReport{}, sandbarrow.ErrUpstreamUnknown
+	}
+	r := sandbarrow.EngineReport{Leaving: f.leaving, Sequence: f.sequence}
+	for _, m := range f.models {
+		held := sandbarrow.LoadedModel{Model: m}
+		for k, v := range f.loaded {
+			held.Adapters = append(held.Adapters, sandbarrow.LoadedAdapter{Adapter: k.Adapter, Version: v})
+		}
+		r.Models = append(r.Models, held)
+	}
+	return r, nil
+}
+
+func (f *fakeEngine) Order(_ context.Context, o sandbarrow.EngineOrder) (bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.given = append(f.given, o)
+	if f.loseNext > 0 {
+		f.loseNext--
+		f.late = append(f.late, o)
+		return false, sandbarrow.ErrOrderUnknown
+	}
+	return f.carryOut(o)
+}
+
+func (f *fakeEngine) carryOut(o sandbarrow.EngineOrder) (bool, error) {
+	switch {
+	case o.Instance != "" && o.Instance != f.id():
+		return false, sandbarrow.ErrOrderMisdirected
+	case o.Token < f.token:
+		return false, sandbarrow.ErrOrderFenced
+	case o.Expected != f.sequence:
+		return false, sandbarrow.ErrOrderConflict
+	}
+	f.token = o.Token
+	f.sequence++
+	key := sandbarrow.AdapterKey{Adapter: o.Adapter, Model: o.Model}
+	switch {
+	case o.Adapter == "":
+		f.models = append(f.models, o.Model)
+	case !o.Load:
+		delete(f.loaded, key)
+		return true, nil
+	default:
+		if _, held := f.loaded[key]; !held && len(f.loaded) >= f.slots {
+			f.overfull = true
+		}
+		f.loaded[key] = max(1, o.Version)
+	}
+	return false, nil
+}
+
+// carryOutLate carries out what got no answer.
+func (f *fakeEngine) carryOutLate() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, o := range f.late {
+		_, _ = f.carryOut(o)
+	}
+	f.late = nil
+}
+
+// restart empties the engine.
+func (f *fakeEngine) restart() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.instance++
+	f.sequence, f.token, f.models = 0, 0, nil
+	f.loaded = map[sandbarrow.AdapterKey]sandbarrow.AdapterVersion{}
+}
--- a/instance.go
+++ b/instance.go
@@ -61,9 +61,7 @@
 	Busy bool
 	// Coming lists the adapters that are being loaded.
 	Coming []ComingAdapter
-	// Instance is empty where the engine does not tell it.
-	Instance InstanceID
-	Leaving  bool
+	Leaving bool
 	Models   []LoadedModel
 	// Queued and Running count requests.
 	Queued, Running int
@@ -111,6 +109,8 @@
 
 // EngineControl gives orders to one engine and reads its state.
 type EngineControl interface {
+	// Identify asks which instance answers; path is the service's health check.
+	Identify(ctx context.Context, path string) (InstanceID, error)
 	// Order gives an order. It returns true when the engine already is as ordered.
 	Order(ctx context.Context, o EngineOrder) (done bool, err error)
 	// Report reads the state.
--- a/route/route.go
+++ b/route/route.go
@@ -100,7 +100,9 @@
 type Service struct {
 	// Engine is nil for plain services.
 	Engine *Engine
-	ID     sandbarrow.ServiceID
+	// HealthPath is the path of the upstreams' health check.
+	HealthPath string
+	ID         sandbarrow.ServiceID
 	// MaxConnections is what one upstream bears from all callers.
 	MaxConnections int
 }
