Bound an order to 80 ms and log the first event

Change: the bound falls to 80 ms; the report after it tells what became of the order. The request line tells when the first event came.

--- a/controller/engineloop.go
+++ b/controller/engineloop.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// orderTimeout bounds one order; the engine is on the same box.
-	orderTimeout = 400 * time.Millisecond
+	// orderTimeout bounds one order. The engine is on the same box and answers
+	// within milliseconds; an order without answer holds up those behind it, and
+	// the next report tells what became of it.
+	orderTimeout = 80 * time.Millisecond
 	// reportTimeout bounds one report.
 	reportTimeout = 400 * time.Millisecond
 	// idlePoll, comingPoll and silentPoll are the pauses between reports while
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -82,6 +82,8 @@
 	// committed says that the head of an answer has gone to the caller.
 	committed bool
 	events    int
+	// first is when the first event came, counted from the start.
+	first     time.Duration
 	lastEvent string
 }
 
@@ -312,7 +314,8 @@
 	}
 	if c.key.Adapter != "" {
 		attrs = append(attrs, slog.String("adapter", string(c.key.Adapter)), slog.Uint64("version", uint64(c.version)),
-			slog.Int64("acquire_ms", c.acquired.Milliseconds()), slog.Int("events", c.events))
+			slog.Int64("acquire_ms", c.acquired.Milliseconds()), slog.Int64("first_ms", c.first.Milliseconds()),
+			slog.Int("events", c.events))
 	}
 	c.gateway.logger.LogAttrs(context.Background(), level, "request", attrs...)
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -188,7 +188,8 @@
 			if e.linked {
 				e.link.tell(enginelink.MethodBegun, sandbarrow.RequestID(c.id))
 			}
-			c.gateway.metrics.firstEvent(c, time.Since(c.began))
+			c.first = time.Since(c.began)
+			c.gateway.metrics.firstEvent(c, c.first)
 		}
 		if _, err := c.writer.Write(event); err != nil {
 			return verdictBroken
