--- a/controller/controller.go
+++ b/controller/controller.go
@@ -70,7 +70,7 @@
 // New returns a controller; Run starts it.
 func New(c Config) *Controller {
 	e := estate.New(c.Documents, c.Logger)
-	return &Controller{
+	k := &Controller{
 		box: c.Box, control: c.Control, engine: c.Engine, estate: e, links: map[*link]bool{}, logger: c.Logger,
 		metrics: newMetrics(c.Metrics), now: time.Now, service: c.Service, slots: newSlots(evict.NewCost()), store: c.Store,
 		wake: make(chan struct{}, 1),
@@ -78,6 +78,14 @@
 			Consumer: e, Logger: c.Logger, Prefix: c.Documents.Prefix(), Store: c.Store, Wait: watchWait,
 		},
 	}
+	k.slots.loadTook = k.loadTook
+	return k
+}
+
+// loadTook notes the time of a load.
+func (c *Controller) loadTook(key sandbarrow.AdapterKey, took time.Duration) {
+	c.metrics.loads.Observe(took.Seconds())
+	c.logger.Info("adapter loaded", "model", string(key.Model), "adapter", string(key.Adapter), "took_ms", took.Milliseconds())
 }
 
 // Run works until ctx ends.
--- a/controller/slots.go
+++ b/controller/slots.go
@@ -26,9 +26,11 @@
 	key      sandbarrow.AdapterKey
 	lastUsed time.Time
 	loaded   time.Time
-	state    enginelink.SlotState
-	uses     int
-	version  sandbarrow.AdapterVersion
+	// ordered is when the load was ordered; zero where it was not seen.
+	ordered time.Time
+	state   enginelink.SlotState
+	uses    int
+	version sandbarrow.AdapterVersion
 }
 
 // want is a set of requests that wait for one adapter.
@@ -74,16 +76,19 @@
 	capacity int
 	demands  map[sandbarrow.AdapterKey]*demand
 	evictor  sandbarrow.Evictor
+	// loadTook is told how long each load took.
+	loadTook func(sandbarrow.AdapterKey, time.Duration)
 	slots    map[sandbarrow.AdapterKey]*slot
 	wants    map[sandbarrow.AdapterKey]*want
 }
 
 func newSlots(e sandbarrow.Evictor) *slots {
 	return &slots{
-		demands: map[sandbarrow.AdapterKey]*demand{},
-		evictor: e,
-		slots:   map[sandbarrow.AdapterKey]*slot{},
-		wants:   map[sandbarrow.AdapterKey]*want{},
+		demands:  map[sandbarrow.AdapterKey]*demand{},
+		evictor:  e,
+		loadTook: func(sandbarrow.AdapterKey, time.Duration) {},
+		slots:    map[sandbarrow.AdapterKey]*slot{},
+		wants:    map[sandbarrow.AdapterKey]*want{},
 	}
 }
 
@@ -229,6 +234,9 @@
 func (s *slots) holds(now time.Time, key sandbarrow.AdapterKey, v sandbarrow.AdapterVersion) {
 	sl := s.kept(key)
 	if sl.state != enginelink.SlotLoaded {
+		if sl.state == enginelink.SlotLoading && !sl.ordered.IsZero() {
+			s.loadTook(key, now.Sub(sl.ordered))
+		}
 		sl.state, sl.loaded = enginelink.SlotLoaded, now
 		sl.lastUsed = now
 	}
@@ -349,7 +357,7 @@
 	case sl != nil:
 		sl.state = enginelink.SlotReplacing
 	default:
-		s.slots[key] = &slot{key: key, lastUsed: now, state: enginelink.SlotLoading, version: o.Version}
+		s.slots[key] = &slot{key: key, lastUsed: now, ordered: now, state: enginelink.SlotLoading, version: o.Version}
 	}
 }
 
