Keep an adapter on engines that have it, in a slot or in their memory

Change: gateways remember which adapters an engine held lately, and another copy weighs the more the rarer the adapter is; a load is priced by those under way.

--- a/enginelink/messages.go
+++ b/enginelink/messages.go
@@ -116,8 +116,6 @@
 	Instance sandbarrow.InstanceID    `json:"instance"`
 	Leaving  bool                     `json:"leaving"`
 	Models   []sandbarrow.BaseModelID `json:"models"`
-	// Recent lists adapters that left a slot lately and load fast.
-	Recent []sandbarrow.AdapterKey `json:"recent,omitempty"`
 	// Running counts granted uses.
 	Running int `json:"running"`
 	// Silent says that the engine does not answer.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -69,9 +69,11 @@
 
 	// affinity is what upstreams are ranked by.
 	affinity string
-	key      sandbarrow.AdapterKey
-	tokens   int
-	version  sandbarrow.AdapterVersion
+	// demand is the decayed count of requests for the adapter here.
+	demand  float64
+	key     sandbarrow.AdapterKey
+	tokens  int
+	version sandbarrow.AdapterVersion
 
 	// sent counts upstreams that got the request, ran those that may have run it.
 	sent, ran int
@@ -174,6 +176,7 @@
 	c.version = c.view.Version(c.key)
 	prompt, _, _ := strings.Cut(c.request.Header.Get(names.Tokens), ",")
 	c.tokens, _ = strconv.Atoi(strings.TrimSpace(prompt)) // 0 where it is not told
+	c.demand = c.gateway.noteDemand(c.key)
 	c.affinity = model + "/" + adapter
 	if adapter == "" {
 		first, _, _ := strings.Cut(c.request.Header.Get(names.Prompt), ",")
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -16,17 +16,20 @@
 	tokenDelay = 52 * time.Microsecond
 	// runningDelay is what each running request slows another.
 	runningDelay = 3 * time.Millisecond
-	// loadDelay is the time to bring an adapter.
-	loadDelay = 280 * time.Millisecond
-	// comingDelay is what is left of a load under way, on average.
-	comingDelay = 140 * time.Millisecond
-	// copyDelay weighs the price of another copy of an adapter that another
-	// engine holds.
-	copyDelay = 350 * time.Millisecond
+	// loadDelay is the time to bring an adapter from the weight store.
+	loadDelay = 270 * time.Millisecond
+	// freeLoads is how many loads the weight store bears at once before each
+	// takes longer.
+	freeLoads = 8
+	// recallDelay is the time to bring an adapter from the engine's own memory.
+	recallDelay = 40 * time.Millisecond
+	// copyDelay weighs the price of another copy of an adapter that is rarely
+	// asked for and that another engine has.
+	copyDelay = 1500 * time.Millisecond
 	// replaceDelay is the time until the runs on an older version have ended.
 	replaceDelay = 900 * time.Millisecond
-	// noSlotDelay is the time until a slot comes free.
-	noSlotDelay = 1500 * time.Millisecond
+	// slotDelay is the time until one slot comes free.
+	slotDelay = 350 * time.Millisecond
 	// rankDelay keeps adapters on the first engines of their ranking.
 	rankDelay = 25 * time.Millisecond
 	// domainDelay prefers the own failure domain.
@@ -41,6 +44,7 @@
 type candidate struct {
 	cost     time.Duration
 	held     bool
+	recalled bool
 	instance *sandbarrow.Instance
 	link     *engineLink
 	linked   bool
@@ -69,14 +73,10 @@
 		}
 		return 1
 	})
-	heldSomewhere := false
-	for _, e := range list {
-		e.held = e.holds(c)
-		heldSomewhere = heldSomewhere || e.held
-	}
+	f := g.survey(c, list)
 	var best *candidate
 	for place, e := range list {
-		if !e.price(g, now, c, place, heldSomewhere) {
+		if !e.price(g, now, c, place, &f) {
 			continue
 		}
 		if best == nil || e.cost < best.cost {
@@ -86,6 +86,34 @@
 	return best
 }
 
+// survey is what a choice knows of all candidates together.
+type survey struct {
+	// copyDelay is the weight of another copy of the adapter.
+	copyDelay time.Duration
+	// loadDelay is the time of a load with those under way now.
+	loadDelay time.Duration
+}
+
+func (g *Gateway) survey(c *call, list []*candidate) survey {
+	had := false
+	coming := 0
+	for _, e := range list {
+		e.held = e.holds(c)
+		e.recalled = !e.held && e.linked && e.link.remembers(c.key)
+		had = had || e.held || e.recalled
+		for i := range e.status.Slots {
+			if e.linked && e.status.Slots[i].State == enginelink.SlotLoading {
+				coming++
+			}
+		}
+	}
+	f := survey{loadDelay: loadDelay * time.Duration(max(freeLoads, coming+1)) / freeLoads}
+	if had {
+		f.copyDelay = time.Duration(float64(copyDelay) / max(1, c.demand))
+	}
+	return f
+}
+
 // holds reports whether the engine holds what the request needs, or brings it.
 func (e *candidate) holds(c *call) bool {
 	if !e.linked {
@@ -125,7 +153,7 @@
 }
 
 // price computes the cost; false means that the engine can't serve the request.
-func (e *candidate) price(g *Gateway, now time.Time, c *call, place int, heldSomewhere bool) bool {
+func (e *candidate) price(g *Gateway, now time.Time, c *call, place int, f *survey) bool {
 	inFlight, penalty := g.health.look(now, e.instance.ID)
 	e.cost = penalty
 	if e.instance.FailureDomain != g.config.Domain {
@@ -149,17 +177,19 @@
 	case e.held && slot.State == enginelink.SlotLoaded:
 		return true
 	case e.held:
-		e.cost += comingDelay
+		e.cost += f.loadDelay / 2
 		return true
 	case slot != nil && slot.Uses > 0:
 		e.cost += replaceDelay
 	case slot == nil && e.status.Free <= 0:
-		e.cost += noSlotDelay
+		e.cost += time.Duration(1-e.status.Free) * slotDelay
 	}
-	e.cost += loadDelay + time.Duration(place)*rankDelay
-	if heldSomewhere {
-		e.cost += copyDelay
+	e.cost += time.Duration(place) * rankDelay
+	if e.recalled {
+		e.cost += recallDelay
+		return true
 	}
+	e.cost += f.loadDelay + f.copyDelay
 	return true
 }
 
--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -43,6 +43,7 @@
 
 	mu     sync.Mutex
 	heard  time.Time
+	memory adapterMemory
 	rpc    *jsonrpc2.Conn
 	status enginelink.Status
 }
@@ -162,7 +163,7 @@
 			return nil, err
 		}
 		l.mu.Lock()
-		l.status, l.heard = s, time.Now()
+		l.take(s)
 		l.mu.Unlock()
 		return nil, nil
 	case enginelink.MethodMark:
@@ -186,6 +187,31 @@
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
 }
 
+// take takes a status. The caller holds mu.
+func (l *engineLink) take(s enginelink.Status) {
+	if len(s.Models) == 0 {
+		l.memory.forget()
+	}
+	l.memory.note(func(yield func(sandbarrow.AdapterKey) bool) {
+		for i := range s.Slots {
+			if !yield(s.Slots[i].AdapterKey) {
+				return
+			}
+		}
+	})
+	l.status, l.heard = s, time.Now()
+}
+
+// remembers reports whether the engine's memory should still hold an adapter.
+func (l *engineLink) remembers(k sandbarrow.AdapterKey) bool {
+	if l == nil {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.memory.has(k)
+}
+
 // up reports whether the controller was heard of lately.
 func (l *engineLink) up(now time.Time) bool {
 	l.mu.Lock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -26,9 +26,9 @@
 	// firstGap is the same before the first event.
 	firstGap = 3 * time.Second
 	// acquireWait bounds the wait for an adapter at one engine.
-	acquireWait = 900 * time.Millisecond
+	acquireWait = 2 * time.Second
 	// maxAcquires is at how many engines an adapter is asked for.
-	maxAcquires     = 4
+	maxAcquires     = 3
 	streamMediaType = "text/event-stream"
 )
 
