Weigh copies of adapters against late answers

Change: an answer expected to miss its objective costs as much as it loses, a copy a fixed weight that rises with the loads under way; the prompts sent since the last status count; a wait for a slot ends early unless the load has begun.

--- a/controller/link.go
+++ b/controller/link.go
@@ -137,13 +137,13 @@
 	if refused != "" {
 		return enginelink.Grant{Refused: refused}
 	}
-	timer := time.NewTimer(time.Duration(q.WaitMS) * time.Millisecond)
-	defer timer.Stop()
-	select {
-	case g := <-w.grant:
+	if g, ok := l.await(w, time.Duration(q.WaitMS)*time.Millisecond); ok {
 		return l.granted(q, u, g)
-	case <-timer.C:
-	case <-l.ctx.Done():
+	}
+	if l.loading(u.key) {
+		if g, ok := l.await(w, enginelink.LoadPatience); ok {
+			return l.granted(q, u, g)
+		}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -160,6 +160,28 @@
 	return enginelink.Grant{Refused: enginelink.RefuseSlots}
 }
 
+// await waits for a grant until a time has passed or the link ends.
+func (l *link) await(w *waiter, patience time.Duration) (enginelink.Grant, bool) {
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case g := <-w.grant:
+		return g, true
+	case <-timer.C:
+	case <-l.ctx.Done():
+	}
+	return enginelink.Grant{}, false
+}
+
+// loading reports whether the engine brings an adapter already.
+func (l *link) loading(key sandbarrow.AdapterKey) bool {
+	c := l.controller
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sl := c.slots.slots[key]
+	return sl != nil && sl.state == enginelink.SlotLoading
+}
+
 func (l *link) granted(q *enginelink.Acquire, u *use, g enginelink.Grant) enginelink.Grant {
 	c := l.controller
 	c.mu.Lock()
--- a/enginelink/messages.go
+++ b/enginelink/messages.go
@@ -31,6 +31,9 @@
 	Heartbeat = 500 * time.Millisecond
 	// Silence is how long a controller may be silent before it counts as gone.
 	Silence = 3 * Heartbeat
+	// LoadPatience is how much longer than its wait a request stays with an
+	// engine that brings its adapter already.
+	LoadPatience = 2 * time.Second
 )
 
 // SlotState says what an engine does with an adapter.
@@ -86,7 +89,7 @@
 	Tokens   int                    `json:"tokens"`
 	// Version is the least version that may run.
 	Version sandbarrow.AdapterVersion `json:"version"`
-	// WaitMS is how long the gateway waits, in milliseconds.
+	// WaitMS is how long the gateway waits for a load to begin, in milliseconds.
 	WaitMS int64 `json:"wait_ms"`
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -176,7 +176,6 @@
 	c.version = c.view.Version(c.key)
 	prompt, _, _ := strings.Cut(c.request.Header.Get(names.Tokens), ",")
 	c.tokens, _ = strconv.Atoi(strings.TrimSpace(prompt)) // 0 where it is not told
-	c.demand = c.gateway.noteDemand(c.key)
 	c.affinity = model + "/" + adapter
 	if adapter == "" {
 		first, _, _ := strings.Cut(c.request.Header.Get(names.Prompt), ",")
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -23,13 +23,19 @@
 	freeLoads = 8
 	// recallDelay is the time to bring an adapter from the engine's own memory.
 	recallDelay = 40 * time.Millisecond
-	// copyDelay weighs the price of another copy of an adapter that is rarely
-	// asked for and that another engine has.
-	copyDelay = 1500 * time.Millisecond
+	// copyDelay weighs the price of another copy of an adapter that another
+	// engine has.
+	copyDelay = 500 * time.Millisecond
+	// lateDelay weighs an answer that is expected to miss its objective.
+	lateDelay = 900 * time.Millisecond
+	// lateShare is the share of the objective that an expected answer may take.
+	lateShare = 0.85
+	// answerDelay is the time to a first event beside reading the prompt.
+	answerDelay = 110 * time.Millisecond
 	// replaceDelay is the time until the runs on an older version have ended.
 	replaceDelay = 900 * time.Millisecond
 	// slotDelay is the time until one slot comes free.
-	slotDelay = 350 * time.Millisecond
+	slotDelay = 600 * time.Millisecond
 	// rankDelay keeps adapters on the first engines of their ranking.
 	rankDelay = 25 * time.Millisecond
 	// domainDelay prefers the own failure domain.
@@ -107,9 +113,10 @@
 			}
 		}
 	}
-	f := survey{loadDelay: loadDelay * time.Duration(max(freeLoads, coming+1)) / freeLoads}
+	crowd := time.Duration(max(freeLoads, coming+1))
+	f := survey{loadDelay: loadDelay * crowd / freeLoads}
 	if had {
-		f.copyDelay = time.Duration(float64(copyDelay) / max(1, c.demand))
+		f.copyDelay = copyDelay * crowd / freeLoads
 	}
 	return f
 }
@@ -164,33 +171,59 @@
 		e.cost += blindDelay + time.Duration(inFlight)*3*runningDelay
 		return e.held
 	}
-	e.cost += time.Duration(e.status.WaitingTokens)*tokenDelay + time.Duration(e.status.Running)*runningDelay
-	if c.key.Adapter == "" {
+	wait, ok := e.wait(c, f)
+	if !ok {
+		return false
+	}
+	wait += time.Duration(e.link.waitingTokens())*tokenDelay + time.Duration(e.status.Running)*runningDelay
+	e.cost += wait
+	if wait+time.Duration(c.tokens)*tokenDelay+answerDelay > c.untilObjective(now) {
+		e.cost += lateDelay
+	}
+	if !e.held || c.key.Adapter == "" {
 		e.cost += time.Duration(place) * rankDelay
-		return e.held
 	}
+	if !e.held && !e.recalled {
+		e.cost += f.copyDelay
+	}
+	return true
+}
+
+// wait estimates the time until the engine holds what the request needs; false
+// means that it can't.
+func (e *candidate) wait(c *call, f *survey) (time.Duration, bool) {
 	if !slices.Contains(e.status.Models, c.key.Model) {
-		return false
+		return 0, false
+	}
+	if c.key.Adapter == "" {
+		return 0, true
 	}
 	slot := e.slot(c.key)
+	if e.held && slot.State == enginelink.SlotLoaded {
+		return 0, true
+	}
+	if e.held {
+		return f.loadDelay / 2, true
+	}
+	var wait time.Duration
 	switch {
-	case e.held && slot.State == enginelink.SlotLoaded:
-		return true
-	case e.held:
-		e.cost += f.loadDelay / 2
-		return true
 	case slot != nil && slot.Uses > 0:
-		e.cost += replaceDelay
+		wait = replaceDelay
 	case slot == nil && e.status.Free <= 0:
-		e.cost += time.Duration(1-e.status.Free) * slotDelay
+		wait = time.Duration(1-e.status.Free) * slotDelay
 	}
-	e.cost += time.Duration(place) * rankDelay
 	if e.recalled {
-		e.cost += recallDelay
-		return true
+		return wait + recallDelay, true
 	}
-	e.cost += f.loadDelay + f.copyDelay
-	return true
+	return wait + f.loadDelay, true
+}
+
+// untilObjective is the part of the objective that is left for an answer.
+func (c *call) untilObjective(now time.Time) time.Duration {
+	if c.route.Objective <= 0 {
+		return sandbarrow.WaitForever
+	}
+	return time.Duration(lateShare*float64(c.route.Objective)) - now.Sub(c.began)
 }
 
 // choosePlain returns the upstream of a plain service with the least expected
--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -46,6 +46,9 @@
 	memory adapterMemory
 	rpc    *jsonrpc2.Conn
 	status enginelink.Status
+	// waiting are the prompts granted to this gateway whose answer has not
+	// begun, told the part that the last status counts already.
+	waiting, told int
 }
 
 // controllerAddress is where the controller of an engine listens.
@@ -199,7 +202,23 @@
 			}
 		}
 	})
-	l.status, l.heard = s, time.Now()
+	l.status, l.heard, l.told = s, time.Now(), l.waiting
+}
+
+// await counts the prompt of a request that the engine has yet to read, or no
+// longer has where tokens is negative.
+func (l *engineLink) await(tokens int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting += tokens
+}
+
+// waitingTokens estimates the prompts that the engine has yet to read, from all
+// gateways by the last status and from this one since then.
+func (l *engineLink) waitingTokens() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(0, l.status.WaitingTokens+l.waiting-l.told)
 }
 
 // remembers reports whether the engine's memory should still hold an adapter.
@@ -238,7 +257,7 @@
 	if rpc == nil {
 		return g, false
 	}
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(q.WaitMS)*time.Millisecond+acquireSlack)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(q.WaitMS)*time.Millisecond+enginelink.LoadPatience+acquireSlack)
 	defer cancel()
 	err := rpc.Call(ctx, enginelink.MethodAcquire, q, &g)
 	if err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -78,7 +78,6 @@
 
 	mu      sync.Mutex
 	budgets map[sandbarrow.ServiceID]*retry.Budget
-	demands demands
 	pools   map[sandbarrow.InstanceID]*forward.Pool
 }
 
@@ -171,13 +170,6 @@
 	return b
 }
 
-// noteDemand counts a request for an adapter and returns the decayed count.
-func (g *Gateway) noteDemand(key sandbarrow.AdapterKey) float64 {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.demands.add(time.Now(), key)
-}
-
 // pool returns the connections to an upstream.
 func (g *Gateway) pool(in *sandbarrow.Instance) *forward.Pool {
 	g.mu.Lock()
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"time"
 
 	"sandbarrow.example/sandbarrow"
 )
@@ -11,10 +10,6 @@
 	// rememberedAdapters is how many adapters an engine's own memory keeps
 	// beside its slots, as far as a gateway counts on it.
 	rememberedAdapters = 30
-	// demandHalfLife is the time in which the memory of past demand halves.
-	demandHalfLife = 8 * time.Second
-	// demandEntries bounds the adapters whose demand is remembered.
-	demandEntries = 4096
 )
 
 // adapterMemory is the order in which adapters were last seen in an engine's
@@ -57,39 +52,3 @@
 	_, ok := m.seen[k]
 	return ok
 }
-
-// demands counts the requests for each adapter at this gateway, decayed.
-type demands struct {
-	entries map[sandbarrow.AdapterKey]decayed
-}
-
-type decayed struct {
-	at    time.Time
-	count float64
-}
-
-func (d decayed) value(now time.Time) float64 {
-	return d.count * math.Exp2(-now.Sub(d.at).Seconds()/demandHalfLife.Seconds())
-}
-
-// add counts a request and returns the decayed count.
-func (d *demands) add(now time.Time, k sandbarrow.AdapterKey) float64 {
-	if d.entries == nil || len(d.entries) >= demandEntries {
-		d.sweep(now)
-	}
-	e := d.entries[k]
-	e.count, e.at = e.value(now)+1, now
-	d.entries[k] = e
-	return e.count
-}
-
-// sweep drops what has decayed.
-func (d *demands) sweep(now time.Time) {
-	kept := map[sandbarrow.AdapterKey]decayed{}
-	for k, e := range d.entries {
-		if e.value(now) > 1 {
-			kept[k] = e
-		}
-	}
-	d.entries = kept
-}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -25,13 +25,14 @@
 	longestGap = 1800 * time.Millisecond
 	// firstGap is the same before the first event.
 	firstGap = 3 * time.Second
-	// acquireWait bounds the wait for an adapter at one engine.
-	acquireWait = 2 * time.Second
 	// maxAcquires is at how many engines an adapter is asked for.
 	maxAcquires     = 3
 	streamMediaType = "text/event-stream"
 )
 
+// acquireWaits bound the wait for a slot at the first, second and third engine.
+var acquireWaits = [maxAcquires]time.Duration{500 * time.Millisecond, 800 * time.Millisecond, 2 * time.Second}
+
 // errStalled ends an attempt whose engine makes no progress.
 const errStalled = errors.ConstError("gateway: stream stalled")
 
@@ -61,7 +62,7 @@
 			break
 		}
 		excluded[e.instance.ID] = true
-		grant, ok := c.acquire(ctx, e)
+		grant, ok := c.acquire(ctx, e, acquireWaits[acquires])
 		acquires++
 		if !ok {
 			why = reasonSlots
@@ -98,13 +99,13 @@
 // acquire obtains the use of the adapter at an engine. Without its controller
 // the request goes to an engine that is listed as holding the adapter, and the
 // engine itself refuses it where that is no longer so.
-func (c *call) acquire(ctx context.Context, e *candidate) (enginelink.Grant, bool) {
+func (c *call) acquire(ctx context.Context, e *candidate, patience time.Duration) (enginelink.Grant, bool) {
 	if !e.linked {
 		return enginelink.Grant{Version: c.version}, true
 	}
 	began := time.Now()
 	defer func() { c.acquired += time.Since(began) }()
-	wait := min(acquireWait, time.Until(c.ends))
+	wait := min(patience, time.Until(c.ends))
 	g, ok := e.link.acquire(ctx, &enginelink.Acquire{
 		Adapter: c.key.Adapter, ID: sandbarrow.RequestID(c.id), Instance: e.instance.ID, Model: c.key.Model,
 		Priority: c.route.Priority, Tokens: c.tokens, Version: c.version, WaitMS: max(1, wait.Milliseconds()),
@@ -123,6 +124,11 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	p := &progress{start: time.Now()}
+	if e.linked {
+		c.awaiting = c.tokens
+		e.link.await(c.awaiting)
+		defer func() { e.link.await(-c.awaiting) }()
+	}
 	go c.watchProgress(ctx, cancel, e, p)
 	c.gateway.health.begin(e.instance.ID)
 	result := c.runEngine(ctx, e, version, p)
@@ -187,6 +193,8 @@
 			c.writer.WriteHeader(a.Status)
 			if e.linked {
 				e.link.tell(enginelink.MethodBegun, sandbarrow.RequestID(c.id))
+				e.link.await(-c.awaiting)
+				c.awaiting = 0
 			}
 			c.first = time.Since(c.began)
 			c.gateway.metrics.firstEvent(c, c.first)
