--- a/gateway/call.go
+++ b/gateway/call.go
@@ -70,10 +70,12 @@
 	// affinity is what upstreams are ranked by.
 	affinity string
 	// demand is the decayed count of requests for the adapter here.
-	demand  float64
-	key     sandbarrow.AdapterKey
-	tokens  int
-	version sandbarrow.AdapterVersion
+	demand float64
+	key    sandbarrow.AdapterKey
+	tokens int
+	// awaiting is the part of tokens that an engine has yet to read.
+	awaiting int
+	version  sandbarrow.AdapterVersion
 
 	// sent counts upstreams that got the request, ran those that may have run it.
 	sent, ran int
