Revert placing new adapters where least is served

Conclusion: gateways that place by the same ranking make fewer copies at once, which weighs more than an even start.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -318,7 +318,7 @@
 	}
 	if c.key.Adapter != "" {
 		attrs = append(attrs, slog.String("adapter", string(c.key.Adapter)), slog.Uint64("version", uint64(c.version)),
-			slog.Int("tokens", c.tokens), slog.Int64("acquire_ms", c.acquired.Milliseconds()), slog.Int64("first_ms", c.first.Milliseconds()),
+			slog.Int64("acquire_ms", c.acquired.Milliseconds()), slog.Int64("first_ms", c.first.Milliseconds()),
 			slog.Int("events", c.events))
 	}
 	c.gateway.logger.LogAttrs(context.Background(), level, "request", attrs...)
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -36,12 +36,8 @@
 	replaceDelay = 900 * time.Millisecond
 	// slotDelay is the time until one slot comes free.
 	slotDelay = 600 * time.Millisecond
-	// rankDelay makes gateways that place an adapter at the same time agree.
-	rankDelay = 4 * time.Millisecond
-	// placeRunningDelay and placeSlotDelay weigh what an engine already serves
-	// when an adapter is placed there for some time to come.
-	placeRunningDelay = 10 * time.Millisecond
-	placeSlotDelay    = 15 * time.Millisecond
+	// rankDelay keeps adapters on the first engines of their ranking.
+	rankDelay = 25 * time.Millisecond
 	// domainDelay prefers the own failure domain.
 	domainDelay = 4 * time.Millisecond
 	// blindDelay is the doubt about an engine without its controller.
@@ -184,12 +180,11 @@
 	if wait+time.Duration(c.tokens)*tokenDelay+answerDelay > c.untilObjective(now) {
 		e.cost += lateDelay
 	}
-	if c.key.Adapter == "" {
+	if !e.held || c.key.Adapter == "" {
 		e.cost += time.Duration(place) * rankDelay
 	}
 	if !e.held && !e.recalled {
-		e.cost += f.copyDelay + time.Duration(place)*rankDelay
-		e.cost += time.Duration(e.status.Running)*placeRunningDelay + time.Duration(len(e.status.Slots))*placeSlotDelay
+		e.cost += f.copyDelay
 	}
 	return true
 }
