Tell the free slots of engines that nobody asked yet

Change: the capacity is taken with each report. Test: TestIdleEngineTellsFreeSlots fails without it.

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -193,3 +193,15 @@
 	step(t, c)
 	assert.Equal(t, (<-w.grant).Version, sandbarrow.AdapterVersion(2))
 }
+
+// An engine that nobody has asked yet tells its free slots; else gateways would
+// never ask it.
+func TestIdleEngineTellsFreeSlots(t *testing.T) {
+	f := newFakeEngine(testSlots)
+	f.models = []sandbarrow.BaseModelID{testModel}
+	c := newTestController(t, f)
+	step(t, c)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	assert.Equal(t, c.status().Free, testSlots)
+}
--- a/controller/engineloop.go
+++ b/controller/engineloop.go
@@ -82,6 +82,7 @@
 	now := c.now()
 	c.sequence = r.Sequence
 	c.reported = r
+	c.slots.capacity = c.capacity()
 	c.slots.take(now, r.Models, r.Coming)
 	c.slots.settle(now)
 	if c.slots.coming() > 0 || r.Busy {
@@ -90,6 +91,20 @@
 	return idlePoll
 }
 
+// capacity is the number of the engine's slots by the estate, 0 before it is
+// known. The caller holds mu.
+func (c *Controller) capacity() int {
+	view := c.estate.View()
+	if view == nil {
+		return 0
+	}
+	service := view.Table.Services[c.service]
+	if service == nil || service.Engine == nil {
+		return 0
+	}
+	return service.Engine.AdapterSlots
+}
+
 // identify learns which instance answers, so that no order, however late, is
 // carried out by the next one.
 func (c *Controller) identify(ctx context.Context) bool {
@@ -202,7 +217,6 @@
 	if service == nil || service.Engine == nil {
 		return sandbarrow.EngineOrder{}, false
 	}
-	c.slots.capacity = service.Engine.AdapterSlots
 	var o sandbarrow.EngineOrder
 	ok := false
 	if len(c.reported.Models) == 0 {
