Order the queue for slots by what an answer still brings

Change: the value of a load is the sum over its waiting requests, by priority and by whether the answer can still be in time. Test: TestQueuePrefersWhatCanBeInTime.

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -12,6 +12,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/evict"
 	"sandbarrow.example/sandbarrow/route"
 )
 
@@ -205,3 +206,26 @@
 	defer c.mu.Unlock()
 	assert.Equal(t, c.status().Free, testSlots)
 }
+
+// Under overload a request that can still be answered in time goes before one
+// that can't, and of two such the more urgent one.
+func TestQueuePrefersWhatCanBeInTime(t *testing.T) {
+	s := newSlots(evict.NewCost())
+	s.capacity = 1
+	now := time.Now()
+	add := func(adapter string, priority int, usefulMS int64) {
+		s.ask(now, &enginelink.Acquire{Priority: priority, UsefulMS: usefulMS}, &use{key: key(adapter)})
+	}
+	add("late", 0, -1)
+	add("low", 2, 500)
+	add("urgent", 0, 500)
+	o, ok := s.next(now)
+	assert.Assert(t, ok)
+	assert.Equal(t, o.Adapter, sandbarrow.AdapterID("urgent"))
+	delete(s.wants, key("urgent"))
+	o, _ = s.next(now)
+	assert.Equal(t, o.Adapter, sandbarrow.AdapterID("low"))
+	delete(s.wants, key("low"))
+	o, _ = s.next(now)
+	assert.Equal(t, o.Adapter, sandbarrow.AdapterID("late"))
+}
--- a/controller/slots.go
+++ b/controller/slots.go
@@ -4,6 +4,7 @@
 package controller
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -19,6 +20,10 @@
 	demandHalfLife = 15 * time.Second
 	// rememberedAdapters bounds the history of demand.
 	rememberedAdapters = 512
+	// priorityStep is how much less each lower priority counts in the queue.
+	priorityStep = 0.4
+	// lateWorth is the share that a late answer counts.
+	lateWorth = 0.3
 )
 
 // slot is one adapter on the engine.
@@ -35,17 +40,34 @@
 
 // want is a set of requests that wait for one adapter.
 type want struct {
-	key      sandbarrow.AdapterKey
-	priority int
-	since    time.Time
-	version  sandbarrow.AdapterVersion
-	waiters  []*waiter
+	key     sandbarrow.AdapterKey
+	since   time.Time
+	version sandbarrow.AdapterVersion
+	waiters []*waiter
+}
+
+// value is what a load for these requests brings now: urgent requests count
+// more, and those that can't be answered in time any more count less, so that
+// an overload does not make all of them late.
+func (w *want) value(now time.Time) float64 {
+	var sum float64
+	for _, one := range w.waiters {
+		worth := 1 / (1 + priorityStep*float64(one.priority))
+		if now.After(one.useful) {
+			worth *= lateWorth
+		}
+		sum += worth
+	}
+	return sum
 }
 
 // waiter is one request that waits. Its channel holds one grant.
 type waiter struct {
-	grant chan enginelink.Grant
-	use   *use
+	grant    chan enginelink.Grant
+	priority int
+	// useful is until when a grant still lets the answer be in time.
+	useful time.Time
+	use    *use
 }
 
 // use is one request that was granted an adapter, or waits for it.
@@ -100,17 +122,19 @@
 // ask grants a use at once, or queues it until settle.
 func (s *slots) ask(now time.Time, q *enginelink.Acquire, u *use) *waiter {
 	s.note(now, u.key)
-	w := &waiter{grant: make(chan enginelink.Grant, 1), use: u}
+	w := &waiter{
+		grant: make(chan enginelink.Grant, 1), priority: q.Priority, use: u,
+		useful: now.Add(time.Duration(q.UsefulMS) * time.Millisecond),
+	}
 	if sl := s.slots[u.key]; sl.usable(q.Version) {
 		s.grant(now, sl, w)
 		return w
 	}
 	wanted := s.wants[u.key]
 	if wanted == nil {
-		wanted = &want{key: u.key, priority: q.Priority, since: now}
+		wanted = &want{key: u.key, since: now}
 		s.wants[u.key] = wanted
 	}
-	wanted.priority = min(wanted.priority, q.Priority)
 	wanted.version = max(wanted.version, q.Version)
 	wanted.waiters = append(wanted.waiters, w)
 	return w
@@ -272,9 +296,9 @@
 	return n
 }
 
-// next chooses the next order, most urgent and oldest want first.
+// next chooses the next order, for the want of most value first.
 func (s *slots) next(now time.Time) (sandbarrow.EngineOrder, bool) {
-	for _, wanted := range s.byUrgency() {
+	for _, wanted := range s.byValue(now) {
 		sl := s.slots[wanted.key]
 		switch {
 		case sl == nil:
@@ -288,14 +312,17 @@
 	return sandbarrow.EngineOrder{}, false
 }
 
-func (s *slots) byUrgency() []*want {
+// byValue lists the wants, the most valuable first and the oldest of equals.
+func (s *slots) byValue(now time.Time) []*want {
 	list := make([]*want, 0, len(s.wants))
+	values := make(map[*want]float64, len(s.wants))
 	for _, w := range s.wants {
 		list = append(list, w)
+		values[w] = w.value(now)
 	}
 	slices.SortFunc(list, func(a, b *want) int {
-		if a.priority != b.priority {
-			return a.priority - b.priority
+		if c := cmp.Compare(values[b], values[a]); c != 0 {
+			return c
 		}
 		return a.since.Compare(b.since)
 	})
--- a/enginelink/messages.go
+++ b/enginelink/messages.go
@@ -87,6 +87,9 @@
 	Model    sandbarrow.BaseModelID `json:"model"`
 	Priority int                    `json:"priority"`
 	Tokens   int                    `json:"tokens"`
+	// UsefulMS is how long a grant still lets the answer be in time, in
+	// milliseconds; it may be negative.
+	UsefulMS int64 `json:"useful_ms"`
 	// Version is the least version that may run.
 	Version sandbarrow.AdapterVersion `json:"version"`
 	// WaitMS is how long the gateway waits for a load to begin, in milliseconds.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -108,11 +108,17 @@
 	wait := min(patience, time.Until(c.ends))
 	g, ok := e.link.acquire(ctx, &enginelink.Acquire{
 		Adapter: c.key.Adapter, ID: sandbarrow.RequestID(c.id), Instance: e.instance.ID, Model: c.key.Model,
-		Priority: c.route.Priority, Tokens: c.tokens, Version: c.version, WaitMS: max(1, wait.Milliseconds()),
+		Priority: c.route.Priority, Tokens: c.tokens, Version: c.version, UsefulMS: c.useful().Milliseconds(),
+		WaitMS: max(1, wait.Milliseconds()),
 	})
 	return g, ok && g.Refused == ""
 }
 
+// useful is how long a grant still lets the answer be in time.
+func (c *call) useful() time.Duration {
+	return c.untilObjective(time.Now()) - time.Duration(c.tokens)*tokenDelay - answerDelay
+}
+
 func (c *call) releaseUse(e *candidate) {
 	if e.linked {
 		e.link.tell(enginelink.MethodDone, sandbarrow.RequestID(c.id))
