--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -42,6 +42,8 @@
 	domainDelay = 4 * time.Millisecond
 	// blindDelay is the doubt about an engine without its controller.
 	blindDelay = 250 * time.Millisecond
+	// noObjective stands in where a route names none.
+	noObjective = time.Hour
 	// serviceDelay is the assumed work of a request at a plain service.
 	serviceDelay = 30 * time.Millisecond
 )
@@ -221,7 +223,7 @@
 // untilObjective is the part of the objective that is left for an answer.
 func (c *call) untilObjective(now time.Time) time.Duration {
 	if c.route.Objective <= 0 {
-		return sandbarrow.WaitForever
+		return noObjective
 	}
 	return time.Duration(lateShare*float64(c.route.Objective)) - now.Sub(c.began)
 }
--- a/instance.go
+++ b/instance.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/juju/errors"
 )
@@ -143,6 +142,3 @@
 	// Tokens holds the prompt's tokens and the most that may be produced.
 	Tokens string
 }
-
-// WaitForever bounds nothing; it stands for a deadline that nobody set.
-const WaitForever = time.Duration(1<<63 - 1)
