Wait a moment for engines after a start; make statuses short

Change: such a request waits up to 0.7 s for an engine, 0.25 s for the first configuration; statuses leave out what the reader can fill in.

--- a/controller/link.go
+++ b/controller/link.go
@@ -15,7 +15,7 @@
 )
 
 // publishPause is the shortest time between two statuses on a link.
-const publishPause = 40 * time.Millisecond
+const publishPause = 50 * time.Millisecond
 
 // link is the connection of one gateway.
 type link struct {
@@ -269,6 +269,7 @@
 		l.controller.mu.Lock()
 		s := l.controller.status()
 		l.controller.mu.Unlock()
+		s.Compact()
 		if time.Since(at) >= enginelink.Heartbeat-publishPause || !reflect.DeepEqual(s, sent) {
 			if err := l.rpc.Notify(ctx, enginelink.MethodStatus, s); err != nil && !errors.Is(err, context.Canceled) {
 				return
--- a/enginelink/messages.go
+++ b/enginelink/messages.go
@@ -107,27 +107,59 @@
 	ID sandbarrow.RequestID `json:"id"`
 }
 
-// SlotStatus is one adapter of an engine.
+// SlotStatus is one adapter of an engine. Its names are short on the wire,
+// since statuses are most of what a link carries.
 type SlotStatus struct {
-	sandbarrow.AdapterKey
-	State   SlotState                 `json:"state"`
-	Uses    int                       `json:"uses"`
-	Version sandbarrow.AdapterVersion `json:"version"`
+	Adapter sandbarrow.AdapterID      `json:"a"`
+	Model   sandbarrow.BaseModelID    `json:"m,omitempty"`
+	State   SlotState                 `json:"s,omitempty"`
+	Uses    int                       `json:"u,omitempty"`
+	Version sandbarrow.AdapterVersion `json:"v"`
+}
+
+// Key names the adapter.
+func (s *SlotStatus) Key() sandbarrow.AdapterKey {
+	return sandbarrow.AdapterKey{Adapter: s.Adapter, Model: s.Model}
+}
+
+// Compact leaves out of each slot what the reader can fill in: the engine's
+// first model, and the state of a loaded adapter.
+func (s *Status) Compact() {
+	for i := range s.Slots {
+		if len(s.Models) > 0 && s.Slots[i].Model == s.Models[0] {
+			s.Slots[i].Model = ""
+		}
+		if s.Slots[i].State == SlotLoaded {
+			s.Slots[i].State = ""
+		}
+	}
+}
+
+// Expand undoes Compact.
+func (s *Status) Expand() {
+	for i := range s.Slots {
+		if len(s.Models) > 0 && s.Slots[i].Model == "" {
+			s.Slots[i].Model = s.Models[0]
+		}
+		if s.Slots[i].State == "" {
+			s.Slots[i].State = SlotLoaded
+		}
+	}
 }
 
 // Status is what a controller knows of its engine.
 type Status struct {
 	// Free counts the slots that are free or could be made free at once.
-	Free     int                      `json:"free"`
-	Instance sandbarrow.InstanceID    `json:"instance"`
-	Leaving  bool                     `json:"leaving"`
-	Models   []sandbarrow.BaseModelID `json:"models"`
+	Free     int                      `json:"f"`
+	Instance sandbarrow.InstanceID    `json:"i,omitempty"`
+	Leaving  bool                     `json:"leaving,omitempty"`
+	Models   []sandbarrow.BaseModelID `json:"m,omitempty"`
 	// Running counts granted uses.
-	Running int `json:"running"`
+	Running int `json:"r"`
 	// Silent says that the engine does not answer.
-	Silent bool                    `json:"silent"`
-	Slots  []SlotStatus            `json:"slots"`
-	Token  sandbarrow.FencingToken `json:"token"`
+	Silent bool                    `json:"silent,omitempty"`
+	Slots  []SlotStatus            `json:"s,omitempty"`
+	Token  sandbarrow.FencingToken `json:"t"`
 	// WaitingTokens are the prompts granted whose answer has not begun.
-	WaitingTokens int `json:"waiting_tokens"`
+	WaitingTokens int `json:"w"`
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -23,6 +23,8 @@
 	maxAnswerBytes = 16 << 20
 	// defaultTimeout bounds requests where neither caller nor route does.
 	defaultTimeout = 60 * time.Second
+	// viewWait bounds the wait for the first configuration.
+	viewWait = 250 * time.Millisecond
 	// leastSend is the least time for which a request is still sent.
 	leastSend = 20 * time.Millisecond
 	// retryAfter is when a refused caller may come back, on average.
@@ -98,8 +100,7 @@
 	if _, stopping := g.stopped(); stopping {
 		w.Header().Set("Connection", "close")
 	}
-	c.view = g.estate.View()
-	if c.view == nil || g.directory.View() == nil {
+	if c.view = g.awaitView(r.Context()); c.view == nil {
 		c.refuse(http.StatusServiceUnavailable, reasonNoConfig)
 		return
 	}
@@ -126,6 +127,21 @@
 	c.servePlain(ctx)
 }
 
+// awaitView returns the estate; right after a start it waits a moment for it.
+func (g *Gateway) awaitView(ctx context.Context) *estate.View {
+	began := time.Now()
+	for {
+		view := g.estate.View()
+		if view != nil && g.directory.View() != nil {
+			return view
+		}
+		if time.Since(began) > viewWait || ctx.Err() != nil {
+			return nil
+		}
+		sleep(ctx, lookPause)
+	}
+}
+
 // prepare reads the request and checks it. On a fault it answers and returns false.
 func (c *call) prepare() bool {
 	limits := c.view.Table.Limits
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -137,7 +137,7 @@
 
 func (e *candidate) slot(key sandbarrow.AdapterKey) *enginelink.SlotStatus {
 	for i := range e.status.Slots {
-		if e.status.Slots[i].AdapterKey == key {
+		if e.status.Slots[i].Key() == key {
 			return &e.status.Slots[i]
 		}
 	}
--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -165,6 +165,7 @@
 		if err := wire.Decode(r, &s); err != nil {
 			return nil, err
 		}
+		s.Expand()
 		l.mu.Lock()
 		l.take(s)
 		l.mu.Unlock()
@@ -197,7 +198,7 @@
 	}
 	l.memory.note(func(yield func(sandbarrow.AdapterKey) bool) {
 		for i := range s.Slots {
-			if !yield(s.Slots[i].AdapterKey) {
+			if !yield(s.Slots[i].Key()) {
 				return
 			}
 		}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -26,7 +26,10 @@
 	// firstGap is the same before the first event.
 	firstGap = 3 * time.Second
 	// maxAcquires is at how many engines an adapter is asked for.
-	maxAcquires     = 3
+	maxAcquires = 3
+	// enginesWait bounds the wait for any engine, lookPause is the pause between looks.
+	enginesWait     = 700 * time.Millisecond
+	lookPause       = 40 * time.Millisecond
 	streamMediaType = "text/event-stream"
 )
 
@@ -58,6 +61,9 @@
 	acquires := 0
 	for ctx.Err() == nil && time.Until(c.ends) > leastSend && acquires < maxAcquires {
 		e := c.gateway.chooseEngine(c, excluded)
+		if e == nil && acquires == 0 && c.awaitEngines(ctx) {
+			continue
+		}
 		if e == nil {
 			break
 		}
@@ -96,6 +102,16 @@
 	c.giveUp(ctx, why)
 }
 
+// awaitEngines waits a moment where no engine can serve the request, as right
+// after a start, and reports whether to look again.
+func (c *call) awaitEngines(ctx context.Context) bool {
+	if time.Since(c.began) > enginesWait {
+		return false
+	}
+	sleep(ctx, lookPause)
+	return ctx.Err() == nil
+}
+
 // acquire obtains the use of the adapter at an engine. Without its controller
 // the request goes to an engine that is listed as holding the adapter, and the
 // engine itself refuses it where that is no longer so.
--- a/instance.go
+++ b/instance.go
@@ -59,9 +59,9 @@
 	// Busy says that an order for a base model is being carried out.
 	Busy bool
 	// Coming lists the adapters that are being loaded.
-	Coming []ComingAdapter
+	Coming  []ComingAdapter
 	Leaving bool
-	Models   []LoadedModel
+	Models  []LoadedModel
 	// Queued and Running count requests.
 	Queued, Running int
 	// Sequence counts the orders taken since the start.
