--- /dev/null
+++ b/directory/directory_test.go
@@ -0,0 +1,98 @@
+package directory
+
+import (
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+
+	"sandbarrow.example/sandbarrow"
+)
+
+// list reads values such as "service address" or "service address leaving".
+type list struct{}
+
+func (list) Prefix() string                              { return "" }
+func (list) InstanceID(key string) sandbarrow.InstanceID { return sandbarrow.InstanceID(key) }
+func (list) Instance(it sandbarrow.KeyItem) (sandbarrow.Instance, error) {
+	parts := strings.Fields(string(it.Value))
+	if len(parts) < 2 {
+		return sandbarrow.Instance{}, errors.NotValidf("entry")
+	}
+	return sandbarrow.Instance{
+		ID: sandbarrow.InstanceID(it.Key), Service: sandbarrow.ServiceID(parts[0]), Address: parts[1], Leaving: len(parts) > 2,
+	}, nil
+}
+
+func item(key string, revision sandbarrow.StoreRevision, value string) sandbarrow.KeyItem {
+	return sandbarrow.KeyItem{Key: key, Revision: revision, Value: []byte(value)}
+}
+
+func gone(key string, revision sandbarrow.StoreRevision) sandbarrow.KeyItem {
+	return sandbarrow.KeyItem{Key: key, Gone: true, Revision: revision}
+}
+
+func newDirectory() *Directory {
+	d := New(list{}, slog.New(slog.DiscardHandler))
+	d.Replace([]sandbarrow.KeyItem{
+		item("a", 1, "s 1"), item("b", 2, "s 2"), item("c", 3, "s 3"), item("d", 4, "s 4"), item("e", 5, "t 5"),
+	}, 5)
+	return d
+}
+
+func ids(d *Directory, service sandbarrow.ServiceID) string {
+	var out []string
+	for _, in := range d.View().Service(service) {
+		name := string(in.ID)
+		if in.Leaving {
+			name += "!"
+		}
+		out = append(out, name)
+	}
+	return strings.Join(out, " ")
+}
+
+func TestChanges(t *testing.T) {
+	for name, tc := range map[string]struct {
+		update []sandbarrow.KeyItem
+		want   string
+	}{
+		"added":             {[]sandbarrow.KeyItem{item("f", 6, "s 6")}, "a b c d f"},
+		"leaving":           {[]sandbarrow.KeyItem{item("b", 6, "s 2 leaving")}, "a b! c d"},
+		"gone alone":        {[]sandbarrow.KeyItem{gone("b", 6)}, "a c d"},
+		"gone and back":     {[]sandbarrow.KeyItem{gone("b", 6), item("b", 7, "s 2")}, "a b c d"},
+		"malformed":         {[]sandbarrow.KeyItem{item("b", 6, "rubbish")}, "a b c d"},
+		"restarted":         {[]sandbarrow.KeyItem{item("x", 6, "s 2")}, "a x c d"},
+		"late word of old":  {[]sandbarrow.KeyItem{item("x", 9, "s 2"), item("b", 6, "s 2")}, "a x c d"},
+		"another's address": {[]sandbarrow.KeyItem{item("x", 6, "t 2")}, "a c d"},
+		"many gone at once": {[]sandbarrow.KeyItem{gone("a", 6), gone("b", 7), gone("c", 8)}, "a b c d"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDirectory()
+			d.Update(tc.update, 9)
+			assert.Equal(t, ids(d, "s"), tc.want)
+		})
+	}
+}
+
+// Upstreams that left together and do not come back leave after the grace.
+func TestMassGoneEnds(t *testing.T) {
+	d := newDirectory()
+	d.Update([]sandbarrow.KeyItem{gone("a", 6), gone("b", 7), gone("c", 8)}, 8)
+	d.Update([]sandbarrow.KeyItem{item("b", 9, "s 2")}, 9)
+	deadline := time.Now().Add(3 * vanishGrace)
+	for ids(d, "s") != "b d" && time.Now().Before(deadline) {
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Equal(t, ids(d, "s"), "b d")
+}
+
+func TestEmptyDirectory(t *testing.T) {
+	d := New(list{}, slog.New(slog.DiscardHandler))
+	assert.Assert(t, d.View() == nil)
+	assert.Equal(t, len(d.View().Service("s")), 0)
+	assert.Equal(t, len(d.View().All()), 0)
+}
--- /dev/null
+++ b/estate/estate_test.go
@@ -0,0 +1,104 @@
+package estate
+
+import (
+	"log/slog"
+	"strconv"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/route"
+)
+
+// documents reads tables whose text is their version, and versions of one adapter.
+type documents struct{}
+
+func (documents) IsTable(key string) bool { return key == "table" }
+func (documents) Prefix() string          { return "" }
+func (documents) Table(text []byte) (*route.Table, error) {
+	version, err := strconv.ParseUint(string(text), 10, 64)
+	if err != nil {
+		return nil, route.ErrInvalid
+	}
+	return route.NewTable(version, nil, nil, route.Limits{})
+}
+func (documents) Version(it sandbarrow.KeyItem) (sandbarrow.AdapterKey, sandbarrow.AdapterVersion, bool) {
+	if it.Key == "table" {
+		return sandbarrow.AdapterKey{}, 0, false
+	}
+	version, _ := strconv.ParseUint(string(it.Value), 10, 64)
+	return sandbarrow.AdapterKey{Adapter: sandbarrow.AdapterID(it.Key)}, sandbarrow.AdapterVersion(version), true
+}
+
+func newEstate() *Estate { return New(documents{}, slog.New(slog.DiscardHandler)) }
+
+func table(revision sandbarrow.StoreRevision, text string) sandbarrow.KeyItem {
+	return sandbarrow.KeyItem{Key: "table", Revision: revision, Value: []byte(text)}
+}
+
+func TestMalformedTableKeepsTheLast(t *testing.T) {
+	e := newEstate()
+	e.Update([]sandbarrow.KeyItem{table(1, "4")}, 1)
+	e.Update([]sandbarrow.KeyItem{table(2, "rubbish")}, 2)
+	assert.Equal(t, e.View().Table.Version, uint64(4))
+	e.Update([]sandbarrow.KeyItem{table(3, "9")}, 3)
+	assert.Equal(t, e.View().Table.Version, uint64(9))
+}
+
+func TestNothingBeforeTheFirstTable(t *testing.T) {
+	e := newEstate()
+	e.Update([]sandbarrow.KeyItem{{Key: "a1", Revision: 1, Value: []byte("2")}}, 1)
+	assert.Assert(t, e.View() == nil)
+}
+
+// In whatever order and however often changes arrive, from the store or from
+// peers, the table and the versions never go back, and all sides that have
+// seen the same changes agree.
+func TestNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var history []sandbarrow.KeyItem
+		for i := range rapid.IntRange(1, 20).Draw(t, "changes") {
+			revision := sandbarrow.StoreRevision(i + 1)
+			text := strconv.Itoa(i + 1)
+			if rapid.Bool().Draw(t, "is table") {
+				history = append(history, table(revision, text))
+			} else {
+				history = append(history, sandbarrow.KeyItem{Key: "a1", Revision: revision, Value: []byte(text)})
+			}
+		}
+		ordered, mixed := newEstate(), newEstate()
+		for _, it := range history {
+			ordered.Update([]sandbarrow.KeyItem{it}, it.Revision)
+		}
+		var last View
+		for range 30 {
+			batch := rapid.SliceOfN(rapid.SampledFrom(history), 1, 4).Draw(t, "batch")
+			mixed.Update(batch, 0)
+			if v := mixed.View(); v != nil {
+				key := sandbarrow.AdapterKey{Adapter: "a1"}
+				if v.Revision < last.Revision || v.Version(key) < last.Version(key) {
+					t.Fatalf("went back from %v to %v", last, *v)
+				}
+				last = *v
+			}
+		}
+		items, mark := ordered.Since(0)
+		mixed.Update(items, mark)
+		a, b := ordered.View(), mixed.View()
+		if (a == nil) != (b == nil) || a != nil && a.Revision != b.Revision {
+			t.Fatal("two sides differ after all changes")
+		}
+	})
+}
+
+// A peer gets only what it lacks.
+func TestSince(t *testing.T) {
+	e := newEstate()
+	e.Update([]sandbarrow.KeyItem{table(3, "1"), {Key: "a1", Revision: 5, Value: []byte("2")}}, 8)
+	items, mark := e.Since(3)
+	assert.Equal(t, len(items), 1)
+	assert.Equal(t, items[0].Key, "a1")
+	assert.Equal(t, mark, sandbarrow.StoreRevision(8))
+}
