--- /dev/null
+++ b/store/memoryprefix.go
@@ -0,0 +1,92 @@
+package store
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"sandbarrow.example/sandbarrow"
+)
+
+// Commit makes a transaction.
+func (m *Memory) Commit(_ context.Context, t sandbarrow.Transaction) (sandbarrow.StoreRevision, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expire()
+	for key, revision := range t.Expected {
+		if m.items[key].item.Revision != revision {
+			return 0, sandbarrow.ErrStoreConflict
+		}
+	}
+	m.bump()
+	for key, value := range t.Put {
+		m.items[key] = memoryItem{item: sandbarrow.Item{Revision: m.revision, Value: value}}
+		delete(m.gone, key)
+	}
+	for _, key := range t.Remove {
+		m.remove(key)
+	}
+	return m.revision, nil
+}
+
+// Range reads all keys under a prefix.
+func (m *Memory) Range(_ context.Context, prefix string) ([]sandbarrow.KeyItem, sandbarrow.StoreRevision, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expire()
+	var items []sandbarrow.KeyItem
+	for key, it := range m.items {
+		if strings.HasPrefix(key, prefix) {
+			items = append(items, sandbarrow.KeyItem{Key: key, Revision: it.item.Revision, Value: it.item.Value})
+		}
+	}
+	slices.SortFunc(items, func(a, b sandbarrow.KeyItem) int { return cmp.Compare(a.Key, b.Key) })
+	return items, m.revision, nil
+}
+
+// WatchPrefix waits until a key under a prefix changes past after.
+func (m *Memory) WatchPrefix(ctx context.Context, prefix string, after sandbarrow.StoreRevision, wait time.Duration) ([]sandbarrow.KeyItem, sandbarrow.StoreRevision, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		items, at, changed := m.since(prefix, after)
+		if len(items) > 0 {
+			return items, at, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, at, nil
+		}
+	}
+}
+
+// since lists the changes of a prefix after a revision, oldest first.
+func (m *Memory) since(prefix string, after sandbarrow.StoreRevision) ([]sandbarrow.KeyItem, sandbarrow.StoreRevision, chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expire()
+	var items []sandbarrow.KeyItem
+	for key, it := range m.items {
+		if it.item.Revision > after && strings.HasPrefix(key, prefix) {
+			items = append(items, sandbarrow.KeyItem{Key: key, Revision: it.item.Revision, Value: it.item.Value})
+		}
+	}
+	for key, revision := range m.gone {
+		if revision > after && strings.HasPrefix(key, prefix) {
+			items = append(items, sandbarrow.KeyItem{Key: key, Gone: true, Revision: revision})
+		}
+	}
+	slices.SortFunc(items, func(a, b sandbarrow.KeyItem) int { return cmp.Compare(a.Revision, b.Revision) })
+	return items, m.revision, m.changed
+}
+
+// remove drops a key and remembers that it is gone. The caller holds mu.
+func (m *Memory) remove(key string) {
+	if _, ok := m.items[key]; ok {
+		delete(m.items, key)
+		m.gone[key] = m.revision
+	}
+}
--- a/store/memorystore.go
+++ b/store/memorystore.go
@@ -14,6 +14,7 @@
 type Memory struct {
 	mu        sync.Mutex
 	changed   chan struct{}
+	gone      map[string]sandbarrow.StoreRevision
 	items     map[string]memoryItem
 	leases    map[sandbarrow.LeaseID]*memoryLease
 	nextLease int
@@ -43,6 +44,7 @@
 func NewMemory(options ...MemoryOption) *Memory {
 	m := &Memory{
 		changed: make(chan struct{}),
+		gone:    map[string]sandbarrow.StoreRevision{},
 		items:   map[string]memoryItem{},
 		leases:  map[sandbarrow.LeaseID]*memoryLease{},
 		now:     time.Now,
@@ -66,6 +68,7 @@
 	}
 	m.bump()
 	m.items[key] = memoryItem{item: sandbarrow.Item{Revision: m.revision, Value: value}, lease: lease}
+	delete(m.gone, key)
 	return m.revision, nil
 }
 
@@ -136,8 +139,8 @@
 	delete(m.leases, lease)
 	for key, it := range m.items {
 		if it.lease == lease {
-			delete(m.items, key)
 			m.bump()
+			m.remove(key)
 		}
 	}
 }
