--- /dev/null
+++ b/gateway/fleet_test.go
@@ -0,0 +1,355 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+
+	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/controller"
+	"sandbarrow.example/sandbarrow/route"
+	"sandbarrow.example/sandbarrow/store"
+)
+
+const (
+	testModel   = "base"
+	testEngines = sandbarrow.ServiceID("engines")
+	testPlain   = sandbarrow.ServiceID("plain")
+	testHost    = "fleet.test"
+)
+
+// testNames are the header names of the test's fleet.
+var testNames = sandbarrow.HeaderNames{
+	Deadline: "T-Deadline", ExpectInstance: "T-Instance-Wanted", ExpectVersion: "T-Version-Wanted", Instance: "T-Instance",
+	LastEvent: "Last-Event-Id", LengthHint: "T-Length", Model: "T-Model", NotRun: "T-Not-Run", Priority: "T-Priority",
+	Prompt: "T-Prompt", RequestID: "T-Request", Signature: "T-Signature", Tokens: "T-Tokens",
+}
+
+// testDocuments reads tables and versions as JSON.
+type testDocuments struct{}
+
+type testTable struct {
+	Routes  []route.Route
+	Version uint64
+}
+
+func (testDocuments) IsTable(key string) bool { return key == "op/table" }
+func (testDocuments) Prefix() string          { return "op/" }
+func (testDocuments) Table(text []byte) (*route.Table, error) {
+	var t testTable
+	if err := json.Unmarshal(text, &t); err != nil {
+		return nil, errors.Annotate(route.ErrInvalid, err.Error())
+	}
+	return route.NewTable(t.Version, t.Routes, []route.Service{
+		{ID: testPlain},
+		{ID: testEngines, HealthPath: "/health", Engine: &route.Engine{AdapterSlots: 2, Models: []route.Model{{ID: testModel}}}},
+	}, route.Limits{MaxBodyBytes: 1000, MaxHeaderBytes: 4000})
+}
+
+func (testDocuments) Version(it sandbarrow.KeyItem) (sandbarrow.AdapterKey, sandbarrow.AdapterVersion, bool) {
+	name, ok := strings.CutPrefix(it.Key, "op/version/")
+	number, _ := strconv.ParseUint(string(it.Value), 10, 64)
+	return sandbarrow.AdapterKey{Adapter: sandbarrow.AdapterID(name), Model: testModel}, sandbarrow.AdapterVersion(number), ok
+}
+
+// testInstances reads instances as JSON.
+type testInstances struct{}
+
+func (testInstances) Prefix() string { return "up/" }
+func (testInstances) InstanceID(key string) sandbarrow.InstanceID {
+	return sandbarrow.InstanceID(strings.TrimPrefix(key, "up/"))
+}
+func (testInstances) Instance(it sandbarrow.KeyItem) (in sandbarrow.Instance, err error) {
+	return in, json.Unmarshal(it.Value, &in)
+}
+
+// runner is a fake upstream. Its faults are set by the test.
+type runner struct {
+	id      sandbarrow.InstanceID
+	server  *httptest.Server
+	service sandbarrow.ServiceID
+
+	mu       sync.Mutex
+	adapters map[sandbarrow.AdapterID]sandbarrow.AdapterVersion
+	sequence uint64
+	// ran lists the ids of requests that ran, got the headers of all that came.
+	ran []string
+	got []http.Header
+	// cutAfter breaks streams off after so many events; -1 never.
+	cutAfter int
+	// hang keeps requests without an answer.
+	hang bool
+	// refuse answers that requests did not run, status is the answer of others.
+	refuse bool
+	status int
+	// left counts callers that went away while a request hung.
+	left int
+}
+
+func newRunner(id string, service sandbarrow.ServiceID) *runner {
+	r := &runner{id: sandbarrow.InstanceID(id), service: service, cutAfter: -1, status: http.StatusOK,
+		adapters: map[sandbarrow.AdapterID]sandbarrow.AdapterVersion{}}
+	r.server = httptest.NewServer(r)
+	return r
+}
+
+func (r *runner) set(change func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change()
+}
+
+func (r *runner) runs() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.ran...)
+}
+
+const testEvents = 5
+
+func (r *runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	_, _ = io.Copy(io.Discard, q.Body)
+	id := q.Header.Get(testNames.RequestID)
+	w.Header().Set(testNames.RequestID, id)
+	r.mu.Lock()
+	r.got = append(r.got, q.Header.Clone())
+	_, adapter, _ := strings.Cut(q.Header.Get(testNames.Model), "/")
+	version, held := r.adapters[sandbarrow.AdapterID(adapter)]
+	wanted := q.Header.Get(testNames.ExpectVersion)
+	misdirected := q.Header.Get(testNames.ExpectInstance) != string(r.id) ||
+		adapter != "" && (!held || wanted != "" && wanted != strconv.FormatUint(uint64(version), 10))
+	refuse, hang, status, cut := r.refuse, r.hang, r.status, r.cutAfter
+	if !misdirected && !refuse {
+		r.ran = append(r.ran, id)
+	}
+	r.mu.Unlock()
+	switch {
+	case misdirected:
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	case refuse:
+		w.Header().Set(testNames.NotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case hang:
+		<-q.Context().Done()
+		r.set(func() { r.left++ })
+	case adapter == "":
+		w.Header().Set(testNames.Signature, "signed-"+string(r.id))
+		w.WriteHeader(status)
+		fmt.Fprintf(w, "%s %s", q.Method, q.RequestURI)
+	default:
+		r.stream(w, q, cut)
+	}
+}
+
+func (r *runner) stream(w http.ResponseWriter, q *http.Request, cut int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(testNames.Signature, "signed-"+string(r.id))
+	first, _ := strconv.Atoi(q.Header.Get(testNames.LastEvent))
+	for n := first + 1; n <= testEvents; n++ {
+		if cut >= 0 && n > first+cut {
+			fmt.Fprintf(w, "id: %d\ndata: half", n)
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(w, "id: %d\ndata: event\n\n", n)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+func (r *runner) Identify(context.Context, string) (sandbarrow.InstanceID, error) { return r.id, nil }
+
+func (r *runner) Report(context.Context) (sandbarrow.EngineReport, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := sandbarrow.LoadedModel{Model: testModel}
+	for a, v := range r.adapters {
+		m.Adapters = append(m.Adapters, sandbarrow.LoadedAdapter{Adapter: a, Version: v})
+	}
+	return sandbarrow.EngineReport{Models: []sandbarrow.LoadedModel{m}, Sequence: r.sequence}, nil
+}
+
+func (r *runner) Order(_ context.Context, o sandbarrow.EngineOrder) (bool, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if o.Expected != r.sequence {
+		return false, sandbarrow.ErrOrderConflict
+	}
+	r.sequence++
+	if !o.Load {
+		delete(r.adapters, o.Adapter)
+		return true, nil
+	}
+	r.adapters[o.Adapter] = max(1, o.Version)
+	return false, nil
+}
+
+// fleet is a gateway with runners and controllers in one process.
+type fleet struct {
+	gateway *Gateway
+	runners []*runner
+	stop    context.CancelFunc
+	store   *store.Memory
+	url     string
+	version uint64
+}
+
+// newFleet starts engines, on loopback addresses of their own so that their
+// controllers can share a port, and plain services.
+func newFleet(t *testing.T, engines, plain int) *fleet {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	f := &fleet{stop: stop, store: store.NewMemory()}
+	logger := slog.New(slog.DiscardHandler)
+	port := "0"
+	for i := range engines {
+		r := newRunner(fmt.Sprintf("engine-%d", i), testEngines)
+		address := fmt.Sprintf("127.0.0.%d:%s", 11+i, portOf(r.server.Listener.Addr().String()))
+		moved, err := net.Listen("tcp", address)
+		assert.NilError(t, err)
+		go func() { _ = http.Serve(moved, r) }()
+		links, err := net.Listen("tcp", fmt.Sprintf("127.0.0.%d:%s", 11+i, port))
+		assert.NilError(t, err)
+		port = portOf(links.Addr().String())
+		k := controller.New(controller.Config{
+			Box: "box", Control: r, Documents: testDocuments{}, Engine: address, Logger: logger,
+			Metrics: prometheus.NewRegistry(), Service: testEngines, Store: f.store,
+		})
+		go func() { _ = k.Run(ctx) }()
+		go func() { _ = k.Serve(ctx, links) }()
+		t.Cleanup(func() { _ = moved.Close() })
+		f.list(t, r, address, false)
+		f.runners = append(f.runners, r)
+	}
+	for i := range plain {
+		r := newRunner(fmt.Sprintf("plain-%d", i), testPlain)
+		f.list(t, r, r.server.Listener.Addr().String(), false)
+		f.runners = append(f.runners, r)
+	}
+	f.gateway = New(Config{
+		AcceptAfterStop: 100 * time.Millisecond, Box: "gateway", ControllerPort: port, Documents: testDocuments{}, Headers: testNames, Instances: testInstances{},
+		Logger: logger, Metrics: prometheus.NewRegistry(), RetryBurst: 10, RetryShare: 0.1, StopGrace: 4 * time.Second, Store: f.store,
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	f.url = "http://" + listener.Addr().String()
+	done := make(chan error, 1)
+	go func() { done <- f.gateway.Run(ctx, listener) }()
+	t.Cleanup(func() {
+		stop()
+		assert.NilError(t, <-done)
+		for _, r := range f.runners {
+			r.server.CloseClientConnections()
+			r.server.Close()
+		}
+	})
+	return f
+}
+
+func portOf(address string) string {
+	_, port, _ := net.SplitHostPort(address)
+	return port
+}
+
+func (f *fleet) put(t *testing.T, key string, value any) {
+	t.Helper()
+	text, ok := value.([]byte)
+	if !ok {
+		var err error
+		text, err = json.Marshal(value)
+		assert.NilError(t, err)
+	}
+	_, err := f.store.Commit(t.Context(), sandbarrow.Transaction{Put: map[string][]byte{key: text}})
+	assert.NilError(t, err)
+}
+
+func (f *fleet) list(t *testing.T, r *runner, address string, leaving bool) {
+	t.Helper()
+	f.put(t, "up/"+string(r.id), sandbarrow.Instance{Address: address, ID: r.id, Leaving: leaving, Service: r.service, Slots: 4})
+}
+
+// configure puts routes in force and waits until the gateway has them.
+func (f *fleet) configure(t *testing.T, routes ...route.Route) {
+	t.Helper()
+	f.version++
+	f.put(t, "op/table", testTable{Routes: routes, Version: f.version})
+	eventually(t, func() bool {
+		v := f.gateway.estate.View()
+		return v != nil && v.Table.Version == f.version && f.gateway.Ready() && f.linked()
+	})
+}
+
+// linked reports whether the gateway has a status of each engine.
+func (f *fleet) linked() bool {
+	for _, in := range f.gateway.directory.View().Service(testEngines) {
+		if s, up := f.gateway.engines.link(in.Address).look(time.Now()); !up || s.Free <= 0 {
+			return false
+		}
+	}
+	return len(f.gateway.directory.View().All()) == len(f.runners)
+}
+
+func eventually(t *testing.T, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !ok(); time.Sleep(3 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("did not come about in 10 s")
+		}
+	}
+}
+
+func plainRoute(kind route.Kind) route.Route {
+	return route.Route{
+		Name: "plain", Host: testHost, Prefix: "/p/", Kind: kind, MaxAttempts: 2, Timeout: 2 * time.Second,
+		Objective: 150 * time.Millisecond, Targets: []route.Target{{Service: testPlain, Weight: 1}},
+	}
+}
+
+func streamRoute(resumable bool) route.Route {
+	return route.Route{
+		Name: "stream", Host: testHost, Prefix: "/s/", Kind: route.KindStream, MaxAttempts: 2, Resumable: resumable,
+		Timeout: 5 * time.Second, Objective: time.Second, Targets: []route.Target{{Service: testEngines, Weight: 1}},
+	}
+}
+
+// reply is an answer as the caller got it.
+type reply struct {
+	body   string
+	err    error
+	header http.Header
+	status int
+}
+
+// send sends one request of a caller.
+func (f *fleet) send(ctx context.Context, method, path string, header map[string]string) reply {
+	q, err := http.NewRequestWithContext(ctx, method, f.url+path, strings.NewReader("body"))
+	if err != nil {
+		return reply{err: err}
+	}
+	q.Host = testHost
+	q.Header.Set(testNames.RequestID, "r1")
+	q.Header.Set(testNames.Deadline, "2000")
+	for name, value := range header {
+		q.Header.Set(name, value)
+	}
+	response, err := http.DefaultTransport.RoundTrip(q)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return reply{body: string(body), err: err, header: response.Header, status: response.StatusCode}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,9 +33,9 @@
 	// heartbeats change it all the time.
 	listWait = 3 * time.Second
 	listPace = 1100 * time.Millisecond
-	// acceptAfterStop is how long a stopping gateway takes new connections,
-	// until the balancer has surely seen that it is not ready.
-	acceptAfterStop = 2600 * time.Millisecond
+	// DefaultAcceptAfterStop is how long a stopping gateway takes new
+	// connections, until the balancer has surely seen that it is not ready.
+	DefaultAcceptAfterStop = 2600 * time.Millisecond
 	// stopMargin ends a planned stop before the platform does.
 	stopMargin = 300 * time.Millisecond
 	// headerTimeout bounds the arrival of a request's head.
@@ -48,6 +48,8 @@
 
 // Config is what a Gateway needs.
 type Config struct {
+	// AcceptAfterStop is how long a stopping gateway takes new connections.
+	AcceptAfterStop time.Duration
 	// ControllerPort is the port of the controller on an engine's box.
 	ControllerPort string
 	Documents      estate.Documents
@@ -139,7 +141,7 @@
 	began := time.Now()
 	g.stopping.Store(&began)
 	g.logger.Info("gateway stops", "grace", g.config.StopGrace.String())
-	time.Sleep(acceptAfterStop)
+	time.Sleep(g.config.AcceptAfterStop)
 	rest, cancel := context.WithDeadline(context.Background(), began.Add(g.config.StopGrace-stopMargin))
 	defer cancel()
 	if err := server.Shutdown(rest); err != nil {
--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -34,7 +34,7 @@
 		return errors.NotValidf("%s: no part gateway", c.Settings)
 	}
 	g := gateway.New(gateway.Config{
-		Box: s.Box.ID, ControllerPort: strconv.Itoa(s.Gateway.ControllerPort), Documents: platform.Documents{},
+		AcceptAfterStop: gateway.DefaultAcceptAfterStop, Box: s.Box.ID, ControllerPort: strconv.Itoa(s.Gateway.ControllerPort), Documents: platform.Documents{},
 		Domain: s.Box.FailureDomain, Headers: platform.Headers, Instances: platform.Instances{}, Logger: d.logger,
 		Metrics: d.registry, RetryBurst: s.Gateway.RetryBurst, RetryShare: s.Gateway.RetryShare,
 		StopGrace: time.Duration(s.Gateway.StopGrace), Store: platform.NewStore(s.Platform.Store, platformClient()),
