Learn from peers at a start in an outage; step back when cut off

Change: gateways answer each other on a port of their own; one that starts asks its seeds for the estate and the list of upstreams. A gateway of whose links four in five are silent is not ready and closes kept connections after their answers. Requests wait for the first link after a start in place of trying blindly. Tests: TestStartInOutageLearnsFromPeers, TestIsolation.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -47,10 +47,10 @@
 // lapse of the store.
 const massShare = 3
 
-// listed is an instance with the revision of its entry.
+// listed is an instance with the entry that tells of it.
 type listed struct {
 	instance sandbarrow.Instance
-	revision sandbarrow.StoreRevision
+	item     sandbarrow.KeyItem
 }
 
 // Directory follows the list.
@@ -79,6 +79,32 @@
 	return d.view.Load()
 }
 
+// Items returns the entries, for a peer that can't read the store.
+func (d *Directory) Items() []sandbarrow.KeyItem {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	items := make([]sandbarrow.KeyItem, 0, len(d.entries))
+	for _, l := range d.entries {
+		items = append(items, l.item)
+	}
+	return items
+}
+
+// Adopt takes a peer's entries while nothing is known yet, and reports whether
+// it did. The store's own word replaces them.
+func (d *Directory) Adopt(items []sandbarrow.KeyItem) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(items) == 0 || d.view.Load() != nil {
+		return false
+	}
+	for _, it := range items {
+		d.put(it)
+	}
+	d.publish()
+	return true
+}
+
 // Replace takes the whole list.
 func (d *Directory) Replace(items []sandbarrow.KeyItem, _ sandbarrow.StoreRevision) {
 	d.mu.Lock()
@@ -134,7 +160,7 @@
 			"service", string(instance.Service), "leaving", instance.Leaving, "revision", uint64(it.Revision))
 	}
 	delete(d.fading, instance.ID)
-	d.entries[instance.ID] = listed{instance: instance, revision: it.Revision}
+	d.entries[instance.ID] = listed{instance: instance, item: it}
 }
 
 // drop removes upstreams that left the list, at once or after a grace where so
@@ -172,7 +198,7 @@
 func (d *Directory) publish() {
 	newest := map[string]listed{}
 	for _, l := range d.entries {
-		if other, ok := newest[l.instance.Address]; !ok || l.revision > other.revision {
+		if other, ok := newest[l.instance.Address]; !ok || l.item.Revision > other.item.Revision {
 			newest[l.instance.Address] = l
 		}
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -97,7 +97,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{began: time.Now(), gateway: g, request: r, writer: w, id: r.Header.Get(g.config.Headers.RequestID)}
 	w.Header()["Date"] = nil
-	if _, stopping := g.stopped(); stopping {
+	if _, stopping := g.stopped(); stopping || g.engines.isolated() {
 		w.Header().Set("Connection", "close")
 	}
 	if c.view = g.awaitView(r.Context()); c.view == nil {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -126,7 +126,7 @@
 // holds reports whether the engine holds what the request needs, or brings it.
 func (e *candidate) holds(c *call) bool {
 	if !e.linked {
-		return holdsModel(e.instance.Models, c)
+		return holdsModel(e.instance.Models, c) || e.link.remembers(c.key)
 	}
 	if c.key.Adapter == "" {
 		return slices.Contains(e.status.Models, c.key.Model)
--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -19,6 +19,11 @@
 	enginesPause = 250 * time.Millisecond
 	// redialPause is the mean pause after a failed or lost link.
 	redialPause = 250 * time.Millisecond
+	// A gateway of which at least isolatedLeast links were up is isolated when
+	// isolatedSilent of isolatedOf are silent.
+	isolatedLeast  = 3
+	isolatedSilent = 4
+	isolatedOf     = 5
 	// acquireSlack is how much longer than its wait an acquire may take.
 	acquireSlack = 250 * time.Millisecond
 )
@@ -67,6 +72,38 @@
 	return e.links[e.gateway.controllerAddress(engine)]
 }
 
+// isolated reports whether links were up and most fell silent: then it is
+// this gateway that is cut off, and callers fare better at another.
+func (e *engines) isolated() bool {
+	now := time.Now()
+	known, silent := 0, 0
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, l := range e.links {
+		if !l.known() {
+			continue
+		}
+		known++
+		if !l.up(now) {
+			silent++
+		}
+	}
+	return known >= isolatedLeast && silent*isolatedOf >= known*isolatedSilent
+}
+
+// anyUp reports whether any controller was heard of lately.
+func (e *engines) anyUp() bool {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, l := range e.links {
+		if l.up(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // run keeps the links in line with the directory until ctx ends.
 func (e *engines) run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -232,6 +269,13 @@
 	return l.memory.has(k)
 }
 
+// known reports whether the controller was ever heard of.
+func (l *engineLink) known() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.heard.IsZero()
+}
+
 // up reports whether the controller was heard of lately.
 func (l *engineLink) up(now time.Time) bool {
 	l.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,8 @@
 	Instances      sandbarrow.InstanceList
 	Logger         *slog.Logger
 	Metrics        prometheus.Registerer
+	// Peers are addresses of other gateways; some may be stale or down.
+	Peers []string
 	// RetryShare is the share of a service's requests that may be sent again.
 	RetryShare float64
 	// RetryBurst is how many repeats a quiet time saves up, per service.
@@ -101,7 +103,7 @@
 
 // Ready reports whether the balancer may send new connections.
 func (g *Gateway) Ready() bool {
-	return g.stopping.Load() == nil && g.estate.View() != nil && g.directory.View() != nil
+	return g.stopping.Load() == nil && g.estate.View() != nil && g.directory.View() != nil && !g.engines.isolated()
 }
 
 // Run serves callers on listener until ctx ends and a planned stop is over.
@@ -122,6 +124,7 @@
 	group.Go(func() error { return estateWatch.Run(work) })
 	group.Go(func() error { return listWatch.Run(work) })
 	group.Go(func() error { return g.engines.run(work) })
+	group.Go(func() error { return g.learnFromPeers(work) })
 	group.Go(func() error {
 		defer end()
 		return g.stop(ctx, server)
--- /dev/null
+++ b/gateway/peers.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/sync/errgroup"
+
+	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/forward"
+	"sandbarrow.example/sandbarrow/wire"
+)
+
+const (
+	// peerPause is the pause between rounds of asking peers.
+	peerPause = 200 * time.Millisecond
+	// peerTimeout bounds one question to a peer.
+	peerTimeout = 800 * time.Millisecond
+)
+
+// methodInstances reads a peer's list of upstreams; a call.
+const methodInstances = "directory.fetch"
+
+// ServePeers answers other gateways that start while the store can't be read,
+// until ctx ends.
+func (g *Gateway) ServePeers(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			g.logger.Warn("peer not taken", "error", err.Error())
+			sleep(ctx, peerPause)
+			continue
+		}
+		g.servePeer(ctx, conn)
+	}
+}
+
+func (g *Gateway) servePeer(ctx context.Context, conn net.Conn) {
+	ready := make(chan struct{})
+	var rpc *jsonrpc2.Conn
+	rpc = jsonrpc2.NewConn(ctx, wire.NewStream(conn), wire.Handler(func(_ context.Context, r *jsonrpc2.Request) (any, error) {
+		<-ready
+		switch r.Method {
+		case enginelink.MethodFetch:
+			return enginelink.ServeFetch(rpc, r, g.estate)
+		case methodInstances:
+			return g.directory.Items(), nil
+		}
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
+	}))
+	close(ready)
+	context.AfterFunc(ctx, func() { _ = rpc.Close() })
+}
+
+// learnFromPeers asks peers for the estate and the list of upstreams until
+// both are known, from them or from the store.
+func (g *Gateway) learnFromPeers(ctx context.Context) error {
+	for ctx.Err() == nil && (g.estate.View() == nil || g.directory.View() == nil) {
+		sleep(ctx, peerPause)
+		var group errgroup.Group
+		for _, address := range g.config.Peers {
+			group.Go(func() error {
+				if err := g.askPeer(ctx, address); err != nil {
+					g.logger.Debug("peer not asked", "peer", address, "error", err.Error())
+				}
+				return nil
+			})
+		}
+		_ = group.Wait() // a peer that does not answer is no error
+	}
+	return nil
+}
+
+// askPeer takes what one peer knows.
+func (g *Gateway) askPeer(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	dialer := net.Dialer{Timeout: forward.DialTimeout, KeepAlive: -1}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	rpc := jsonrpc2.NewConn(ctx, wire.NewStream(conn), wire.Handler(func(_ context.Context, r *jsonrpc2.Request) (any, error) {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
+	}))
+	defer rpc.Close()
+	var items []sandbarrow.KeyItem
+	if err := rpc.Call(ctx, methodInstances, enginelink.Mark{}, &items); err != nil {
+		return err
+	}
+	mark, _ := g.estate.Mark()
+	var estate enginelink.Estate
+	if err := rpc.Call(ctx, enginelink.MethodFetch, enginelink.Mark{Revision: mark}, &estate); err != nil {
+		return err
+	}
+	g.estate.Update(estate.Items, estate.Mark)
+	if g.directory.Adopt(items) {
+		g.logger.Info("upstreams learnt from a peer", "peer", address, "upstreams", len(items))
+	}
+	return nil
+}
--- /dev/null
+++ b/gateway/peers_test.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sourcegraph/jsonrpc2"
+	"gotest.tools/v3/assert"
+
+	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/route"
+)
+
+// downStore is a store that can't be reached.
+type downStore struct{}
+
+func (downStore) Commit(context.Context, sandbarrow.Transaction) (sandbarrow.StoreRevision, error) {
+	return 0, sandbarrow.ErrStoreUnavailable
+}
+
+func (downStore) Range(context.Context, string) ([]sandbarrow.KeyItem, sandbarrow.StoreRevision, error) {
+	return nil, 0, sandbarrow.ErrStoreUnavailable
+}
+
+func (downStore) WatchPrefix(context.Context, string, sandbarrow.StoreRevision, time.Duration) ([]sandbarrow.KeyItem, sandbarrow.StoreRevision, error) {
+	return nil, 0, sandbarrow.ErrStoreUnavailable
+}
+
+func newLoneGateway(peers ...string) *Gateway {
+	return New(Config{
+		Documents: testDocuments{}, Headers: testNames, Instances: testInstances{}, Logger: slog.New(slog.DiscardHandler),
+		Metrics: prometheus.NewRegistry(), Peers: peers, Store: downStore{}, StopGrace: time.Second,
+	})
+}
+
+// A gateway that starts while the store is down learns the configuration and
+// the upstreams from a peer that has them; peers that are gone do no harm.
+func TestStartInOutageLearnsFromPeers(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.configure(t, plainRoute(route.KindSafe))
+	peers, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = f.gateway.ServePeers(ctx, peers) }()
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, gone.Close())
+
+	g := newLoneGateway(gone.Addr().String(), peers.Addr().String())
+	go func() { _ = g.learnFromPeers(ctx) }()
+	eventually(t, g.Ready)
+	assert.Equal(t, g.estate.View().Table.Version, f.version)
+	assert.Equal(t, len(g.directory.View().All()), 2)
+}
+
+// A gateway whose links all fall silent is itself cut off: it is not ready.
+// One that has lost a few controllers stays ready.
+func TestIsolation(t *testing.T) {
+	g := newLoneGateway()
+	g.estate.Update([]sandbarrow.KeyItem{{Key: "op/table", Revision: 1, Value: []byte("{}")}}, 1)
+	g.directory.Replace(nil, 1)
+	for _, address := range []string{"a", "b", "c", "d", "e"} {
+		g.engines.links[address] = &engineLink{gateway: g, heard: time.Now(), rpc: &jsonrpc2.Conn{}}
+	}
+	assert.Assert(t, g.Ready())
+	silence := func(addresses ...string) {
+		for _, a := range addresses {
+			g.engines.links[a].heard = time.Now().Add(-2 * enginelink.Silence)
+		}
+	}
+	silence("a", "b", "c")
+	assert.Assert(t, g.Ready())
+	silence("d")
+	assert.Assert(t, !g.Ready())
+	g.engines.links["a"].heard = time.Now()
+	assert.Assert(t, g.Ready())
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -61,7 +61,7 @@
 	acquires := 0
 	for ctx.Err() == nil && time.Until(c.ends) > leastSend && acquires < maxAcquires {
 		e := c.gateway.chooseEngine(c, excluded)
-		if e == nil && acquires == 0 && c.awaitEngines(ctx) {
+		if acquires == 0 && (e == nil || !c.gateway.engines.anyUp()) && c.awaitEngines(ctx) {
 			continue
 		}
 		if e == nil {
--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -36,7 +36,7 @@
 	g := gateway.New(gateway.Config{
 		AcceptAfterStop: gateway.DefaultAcceptAfterStop, Box: s.Box.ID, ControllerPort: strconv.Itoa(s.Gateway.ControllerPort), Documents: platform.Documents{},
 		Domain: s.Box.FailureDomain, Headers: platform.Headers, Instances: platform.Instances{}, Logger: d.logger,
-		Metrics: d.registry, RetryBurst: s.Gateway.RetryBurst, RetryShare: s.Gateway.RetryShare,
+		Metrics: d.registry, Peers: s.Gateway.Peers, RetryBurst: s.Gateway.RetryBurst, RetryShare: s.Gateway.RetryShare,
 		StopGrace: time.Duration(s.Gateway.StopGrace), Store: platform.NewStore(s.Platform.Store, platformClient()),
 	})
 	return d.run(c.ctx, "gateway", func(ctx context.Context) error {
@@ -48,13 +48,17 @@
 		if err != nil {
 			return errors.Annotatef(err, "listen.ready %s", s.Listen.Ready)
 		}
-		return serveGateway(ctx, g, callers, ready)
+		peers, err := net.Listen("tcp", s.Listen.Peer)
+		if err != nil {
+			return errors.Annotatef(err, "listen.peer %s", s.Listen.Peer)
+		}
+		return serveGateway(ctx, g, callers, ready, peers)
 	})
 }
 
-// serveGateway runs a gateway with its readiness check, which answers until
-// the gateway has stopped.
-func serveGateway(ctx context.Context, g *gateway.Gateway, callers, ready net.Listener) error {
+// serveGateway runs a gateway with its readiness check and its peers' port,
+// which answer until the gateway has stopped.
+func serveGateway(ctx context.Context, g *gateway.Gateway, callers, ready, peers net.Listener) error {
 	checks, stop := context.WithCancel(context.Background())
 	var group errgroup.Group
 	group.Go(func() error {
@@ -68,5 +72,6 @@
 			}
 		}))
 	})
+	group.Go(func() error { return g.ServePeers(checks, peers) })
 	return group.Wait()
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -3,6 +3,7 @@
 package settings
 
 import (
+	"fmt"
 	"log/slog"
 	"net"
 	"net/url"
@@ -57,6 +58,9 @@
 type Gateway struct {
 	// ControllerPort is the port of the controllers on the engines' boxes.
 	ControllerPort int `json:"controller_port"`
+	// Peers are peer addresses of other gateways, which are asked when the store
+	// can't be read at the start; some may be stale or down.
+	Peers []string `json:"peers"`
 	// RetryBurst is how many repeats a quiet time saves up, per service.
 	RetryBurst float64 `json:"retry_burst"`
 	// RetryShare is the share of a service's requests that may be sent again.
@@ -83,6 +87,8 @@
 	HTTP string `json:"http"`
 	// Metrics serves the metrics of a gateway or controller.
 	Metrics string `json:"metrics"`
+	// Peer serves other gateways.
+	Peer string `json:"peer"`
 	// Ready serves the balancer's readiness check of a gateway.
 	Ready string `json:"ready"`
 	// RPC serves entries (agent) or gateways (controller).
@@ -261,9 +267,13 @@
 
 func (c *checker) gateway(s *Settings) {
 	g := s.Gateway
+	c.address("listen.peer", s.Listen.Peer)
 	c.address("listen.ready", s.Listen.Ready)
 	c.address("listen.metrics", s.Listen.Metrics)
 	c.require(g.ControllerPort > 0 && g.ControllerPort <= maxPort, "gateway.controller_port", "%d is no port", g.ControllerPort)
+	for i, peer := range g.Peers {
+		c.address(fmt.Sprintf("gateway.peers[%d]", i), peer)
+	}
 	c.require(g.RetryBurst >= 0, "gateway.retry_burst", "must not be negative")
 	c.require(g.RetryShare >= 0 && g.RetryShare <= 1, "gateway.retry_share", "%v: want 0 to 1", g.RetryShare)
 	c.require(g.StopGrace > 0, "gateway.stop_grace", "must be positive")
