Hurry the list of upstreams after a start

Change: no pace right after a start or while a service has no upstream; shorter bounds for reads and tokens; requests wait up to 1.2 s for a first engine. Test: TestHurry.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -19,8 +19,8 @@
 const (
 	// tokenKeyPrefix is the prefix of the keys whose revision is a fencing token.
 	tokenKeyPrefix = "sandbarrow/token/"
-	tokenTimeout   = 1500 * time.Millisecond
-	tokenPause     = 300 * time.Millisecond
+	tokenTimeout   = 700 * time.Millisecond
+	tokenPause     = 150 * time.Millisecond
 	// watchWait is the longest wait of one watch of the estate.
 	watchWait = 4 * time.Second
 	// rememberedRecent bounds the list of adapters that left a slot lately.
--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -16,9 +16,9 @@
 
 const (
 	// enginesPause is the pause between looks at the directory.
-	enginesPause = 250 * time.Millisecond
+	enginesPause = 100 * time.Millisecond
 	// redialPause is the mean pause after a failed or lost link.
-	redialPause = 250 * time.Millisecond
+	redialPause = 150 * time.Millisecond
 	// A gateway of which at least isolatedLeast links were up is isolated when
 	// isolatedSilent of isolatedOf are silent.
 	isolatedLeast  = 3
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,6 +36,8 @@
 	// DefaultAcceptAfterStop is how long a stopping gateway takes new
 	// connections, until the balancer has surely seen that it is not ready.
 	DefaultAcceptAfterStop = 2600 * time.Millisecond
+	// startTime is how long after a start upstreams may not be listed yet.
+	startTime = 4 * time.Second
 	// stopMargin ends a planned stop before the platform does.
 	stopMargin = 300 * time.Millisecond
 	// headerTimeout bounds the arrival of a request's head.
@@ -78,6 +80,7 @@
 	health    *health
 	logger    *slog.Logger
 	metrics   *metrics
+	started   time.Time
 	stopping  atomic.Pointer[time.Time]
 
 	mu      sync.Mutex
@@ -95,6 +98,7 @@
 		health:    newHealth(),
 		logger:    c.Logger,
 		metrics:   newMetrics(c.Metrics),
+		started:   time.Now(),
 		pools:     map[sandbarrow.InstanceID]*forward.Pool{},
 	}
 	g.engines = newEngines(g)
@@ -119,7 +123,7 @@
 		Consumer: g.estate, Logger: g.logger, Prefix: g.config.Documents.Prefix(), Store: g.config.Store, Wait: estateWait,
 	}
 	listWatch := prefixwatch.Watch{
-		Consumer: g.directory, Logger: g.logger, Pace: listPace, Prefix: g.config.Instances.Prefix(), Store: g.config.Store, Wait: listWait,
+		Consumer: g.directory, Logger: g.logger, Hurry: g.awaitsUpstreams, Pace: listPace, Prefix: g.config.Instances.Prefix(), Store: g.config.Store, Wait: listWait,
 	}
 	group.Go(func() error { return estateWatch.Run(work) })
 	group.Go(func() error { return listWatch.Run(work) })
@@ -136,6 +140,25 @@
 	return group.Wait()
 }
 
+// awaitsUpstreams reports whether the list of upstreams is likely incomplete:
+// right after a start, or while a service has none.
+func (g *Gateway) awaitsUpstreams() bool {
+	if time.Since(g.started) < startTime {
+		return true
+	}
+	view := g.estate.View()
+	if view == nil {
+		return false
+	}
+	list := g.directory.View()
+	for id := range view.Table.Services {
+		if len(list.Service(id)) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // stop waits for ctx, then stops so that no request is cut: first the
 // balancer learns that this gateway is not ready, then it takes no more
 // connections, then what runs ends.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -28,7 +28,7 @@
 	// maxAcquires is at how many engines an adapter is asked for.
 	maxAcquires = 3
 	// enginesWait bounds the wait for any engine, lookPause is the pause between looks.
-	enginesWait     = 700 * time.Millisecond
+	enginesWait     = 1200 * time.Millisecond
 	lookPause       = 40 * time.Millisecond
 	streamMediaType = "text/event-stream"
 )
--- a/prefixwatch/prefixwatch.go
+++ b/prefixwatch/prefixwatch.go
@@ -18,7 +18,9 @@
 	// slack is how much longer than its wait a watch may take.
 	slack = 1500 * time.Millisecond
 	// readTimeout bounds a read of the whole prefix.
-	readTimeout = 2 * time.Second
+	readTimeout = 900 * time.Millisecond
+	// hurriedPace is the shortest time between two watches while Hurry says so.
+	hurriedPace = 150 * time.Millisecond
 	// firstPause and longestPause bound the pause after a failure, which doubles.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 800 * time.Millisecond
@@ -35,7 +37,9 @@
 // Watch follows one prefix.
 type Watch struct {
 	Consumer Consumer
-	Logger   *slog.Logger
+	// Hurry says that changes are awaited, so that the pace does not hold; nil never does.
+	Hurry  func() bool
+	Logger *slog.Logger
 	// Pace is the shortest time between two watches, so that a busy prefix
 	// costs few calls; changes in between arrive together.
 	Pace   time.Duration
@@ -59,7 +63,7 @@
 				w.Logger.Info("store regained", "prefix", w.Prefix, "revision", uint64(next))
 			}
 			at, known, up, pause = next, true, true, firstPause
-			sleep(ctx, w.Pace-time.Since(began))
+			sleep(ctx, w.pace()-time.Since(began))
 		case ctx.Err() != nil:
 		default:
 			if errors.Is(err, sandbarrow.ErrStoreCompacted) {
@@ -76,6 +80,13 @@
 	return nil
 }
 
+func (w *Watch) pace() time.Duration {
+	if w.Hurry != nil && w.Hurry() {
+		return min(w.Pace, hurriedPace)
+	}
+	return w.Pace
+}
+
 func (w *Watch) step(ctx context.Context, at sandbarrow.StoreRevision, known bool) (sandbarrow.StoreRevision, error) {
 	if !known {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
--- a/prefixwatch/prefixwatch_test.go
+++ b/prefixwatch/prefixwatch_test.go
@@ -171,3 +171,19 @@
 	defer f.mu.Unlock()
 	assert.Assert(t, f.calls < 25, "%d calls", f.calls)
 }
+
+// While changes are awaited the pace does not hold them up.
+func TestHurry(t *testing.T) {
+	f := &faulty{Memory: store.NewMemory()}
+	v := &view{}
+	w := Watch{
+		Consumer: v, Hurry: func() bool { return true }, Logger: slog.New(slog.DiscardHandler), Pace: time.Hour, Prefix: "p/",
+		Store: f, Wait: 50 * time.Millisecond,
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = w.Run(ctx) }()
+	time.Sleep(30 * time.Millisecond)
+	put(t, f, "p/a", "1")
+	eventually(t, func() bool { return v.get("p/a") == "1" })
+}
