--- a/gateway/call.go
+++ b/gateway/call.go
@@ -46,6 +46,7 @@
 	reasonLeft       reason = "caller-left"
 	reasonNoConfig   reason = "no-configuration"
 	reasonNoRoute    reason = "no-route"
+	reasonOverload   reason = "overload"
 	reasonNoUpstream reason = "no-upstream"
 	reasonRefused    reason = "upstream-refused"
 	reasonSlots      reason = "no-slot"
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -54,10 +54,12 @@
 	held     bool
 	recalled bool
 	instance *sandbarrow.Instance
-	link     *engineLink
-	linked   bool
-	rank     uint64
-	status   enginelink.Status
+	// late says that the answer is expected to miss its objective.
+	late   bool
+	link   *engineLink
+	linked bool
+	rank   uint64
+	status enginelink.Status
 }
 
 // chooseEngine returns the engine with the least expected delay, or nil.
@@ -181,6 +183,7 @@
 	e.cost += wait
 	if wait+time.Duration(c.tokens)*tokenDelay+answerDelay > c.untilObjective(now) {
 		e.cost += lateDelay
+		e.late = true
 	}
 	if !e.held || c.key.Adapter == "" {
 		e.cost += time.Duration(place) * rankDelay
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -67,6 +67,10 @@
 		if e == nil {
 			break
 		}
+		if acquires == 0 && e.late && c.mayComeBack() {
+			c.refuse(http.StatusServiceUnavailable, reasonOverload)
+			return
+		}
 		excluded[e.instance.ID] = true
 		grant, ok := c.acquire(ctx, e, acquireWaits[acquires])
 		acquires++
@@ -102,6 +106,12 @@
 	c.giveUp(ctx, why)
 }
 
+// mayComeBack reports whether the caller has hardly waited yet, so that a
+// refusal now leaves it time for another try.
+func (c *call) mayComeBack() bool {
+	return time.Since(c.began) < c.route.Objective/8 && c.callerEnds.Sub(c.began) > c.route.Timeout*97/100
+}
+
 // awaitEngines waits a moment where no engine can serve the request, as right
 // after a start, and reports whether to look again.
 func (c *call) awaitEngines(ctx context.Context) bool {
