--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -56,6 +56,7 @@
 	instance *sandbarrow.Instance
 	// late says that the answer is expected to miss its objective.
 	late   bool
+	wait   time.Duration
 	link   *engineLink
 	linked bool
 	rank   uint64
@@ -175,7 +176,7 @@
 		e.cost += blindDelay + time.Duration(inFlight)*3*runningDelay
 		return e.held
 	}
-	wait, ok := e.wait(c, f)
+	wait, ok := e.waitForAdapter(c, f)
 	if !ok {
 		return false
 	}
@@ -183,7 +184,7 @@
 	e.cost += wait
 	if wait+time.Duration(c.tokens)*tokenDelay+answerDelay > c.untilObjective(now) {
 		e.cost += lateDelay
-		e.late = true
+		e.late, e.wait = true, wait
 	}
 	if !e.held || c.key.Adapter == "" {
 		e.cost += time.Duration(place) * rankDelay
@@ -194,9 +195,9 @@
 	return true
 }
 
-// wait estimates the time until the engine holds what the request needs; false
+// waitForAdapter estimates the time until the engine holds what the request needs; false
 // means that it can't.
-func (e *candidate) wait(c *call, f *survey) (time.Duration, bool) {
+func (e *candidate) waitForAdapter(c *call, f *survey) (time.Duration, bool) {
 	if !slices.Contains(e.status.Models, c.key.Model) {
 		return 0, false
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -68,6 +68,7 @@
 			break
 		}
 		if acquires == 0 && e.late && c.mayComeBack() {
+			c.comeBack = min(max(e.wait, retryAfter), longestRetryAfter)
 			c.refuse(http.StatusServiceUnavailable, reasonOverload)
 			return
 		}
