Refuse early for want of a slot alone

Change: only an answer that would wait for a slot is refused early, to come back soon; cold engines keep their callers.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -27,10 +27,8 @@
 	viewWait = 250 * time.Millisecond
 	// leastSend is the least time for which a request is still sent.
 	leastSend = 20 * time.Millisecond
-	// retryAfter is when a refused caller may come back, on average, where no
-	// longer wait is expected; longestRetryAfter bounds that.
-	retryAfter        = 250 * time.Millisecond
-	longestRetryAfter = 1500 * time.Millisecond
+	// retryAfter is when a refused caller may come back, on average.
+	retryAfter = 250 * time.Millisecond
 	// refuseAfterStop is when a stopping gateway takes no more streams, which
 	// might not end before it does.
 	refuseAfterStop = 2800 * time.Millisecond
@@ -88,8 +86,6 @@
 	last sandbarrow.InstanceID
 	// acquired is the time spent to obtain adapters.
 	acquired time.Duration
-	// comeBack is when the caller may come back, where it is known.
-	comeBack time.Duration
 	// committed says that the head of an answer has gone to the caller.
 	committed bool
 	events    int
@@ -292,7 +288,7 @@
 func (c *call) refuse(status int, why reason) {
 	h := c.writer.Header()
 	if status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", strconv.FormatFloat(jitter(max(c.comeBack, retryAfter)).Seconds(), 'f', 3, 64))
+		h.Set("Retry-After", strconv.FormatFloat(jitter(retryAfter).Seconds(), 'f', 3, 64))
 	}
 	if c.id != "" {
 		h.Set(c.gateway.config.Headers.RequestID, c.id)
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -50,17 +50,19 @@
 
 // candidate is an engine that may serve a request.
 type candidate struct {
-	cost     time.Duration
+	cost time.Duration
+	// full says that the adapter would wait for a slot to come free.
+	full     bool
 	held     bool
-	recalled bool
 	instance *sandbarrow.Instance
 	// late says that the answer is expected to miss its objective.
 	late   bool
-	wait   time.Duration
 	link   *engineLink
 	linked bool
 	rank   uint64
-	status enginelink.Status
+	// recalled says that the engine's own memory should have the adapter.
+	recalled bool
+	status   enginelink.Status
 }
 
 // chooseEngine returns the engine with the least expected delay, or nil.
@@ -184,7 +186,7 @@
 	e.cost += wait
 	if wait+time.Duration(c.tokens)*tokenDelay+answerDelay > c.untilObjective(now) {
 		e.cost += lateDelay
-		e.late, e.wait = true, wait
+		e.late = true
 	}
 	if !e.held || c.key.Adapter == "" {
 		e.cost += time.Duration(place) * rankDelay
@@ -217,6 +219,7 @@
 		wait = replaceDelay
 	case slot == nil && e.status.Free <= 0:
 		wait = time.Duration(1-e.status.Free) * slotDelay
+		e.full = true
 	}
 	if e.recalled {
 		return wait + recallDelay, true
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -67,8 +67,7 @@
 		if e == nil {
 			break
 		}
-		if acquires == 0 && e.late && c.mayComeBack() {
-			c.comeBack = min(max(e.wait, retryAfter), longestRetryAfter)
+		if acquires == 0 && e.late && e.full && c.mayComeBack() {
 			c.refuse(http.StatusServiceUnavailable, reasonOverload)
 			return
 		}
