Log each failed attempt with what was believed of its upstream

Cause: a refused request's line did not tell which engines had refused it, nor how old the status was by which they were chosen.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -25,6 +25,8 @@
 	defaultTimeout = 60 * time.Second
 	// viewWait bounds the wait for the first configuration.
 	viewWait = 250 * time.Millisecond
+	// maxLogged bounds a caller's text in a log line.
+	maxLogged = 80
 	// leastSend is the least time for which a request is still sent.
 	leastSend = 20 * time.Millisecond
 	// retryAfter is when a refused caller may come back, on average.
@@ -315,7 +317,22 @@
 	}
 }
 
-// finish writes the call's line.
+// logAttempt writes a line for an attempt that failed, with what was believed
+// of the upstream when it was chosen.
+func (c *call) logAttempt(id sandbarrow.InstanceID, result, cause string, e *candidate) {
+	attrs := []slog.Attr{
+		slog.String("request", c.id), slog.String("upstream", string(id)), slog.String("result", result), slog.String("cause", cause),
+		slog.Int64("after_ms", time.Since(c.began).Milliseconds()), slog.Int("sent", c.sent), slog.Int("events", c.events),
+	}
+	if e != nil {
+		attrs = append(attrs, slog.Bool("linked", e.linked), slog.Bool("held", e.held), slog.Int("free", e.status.Free),
+			slog.Int("waiting_tokens", e.status.WaitingTokens), slog.Int64("cost_ms", e.cost.Milliseconds()),
+			slog.Int64("status_age_ms", e.link.age().Milliseconds()))
+	}
+	c.gateway.logger.LogAttrs(context.Background(), slog.LevelInfo, "attempt", attrs...)
+}
+
+// finish counts the call and writes its line.
 func (c *call) finish(status int, why reason) {
 	took := time.Since(c.began)
 	c.gateway.metrics.finished(c, status, why, took)
@@ -323,6 +340,11 @@
 	if why != "" {
 		level = slog.LevelWarn
 	}
+	c.gateway.logger.LogAttrs(context.Background(), level, "request", c.attributes(status, why, took)...)
+}
+
+// attributes describe the end of the call and what decided it.
+func (c *call) attributes(status int, why reason, took time.Duration) []slog.Attr {
 	attrs := []slog.Attr{
 		slog.String("request", c.id), slog.Int("status", status), slog.Int64("took_ms", took.Milliseconds()),
 		slog.Int("sent", c.sent), slog.Int("ran", c.ran), slog.String("upstream", string(c.last)),
@@ -330,15 +352,25 @@
 	if why != "" {
 		attrs = append(attrs, slog.String("reason", string(why)))
 	}
+	if c.view != nil {
+		attrs = append(attrs, slog.Uint64("config", c.view.Table.Version), slog.Int64("config_age_ms", time.Since(c.view.At).Milliseconds()))
+	}
 	if c.route != nil {
-		attrs = append(attrs, slog.String("route", c.route.Name), slog.Uint64("config", c.view.Table.Version))
+		attrs = append(attrs, slog.String("route", c.route.Name))
+	} else {
+		attrs = append(attrs, slog.String("host", clip(c.request.Host)), slog.String("path", clip(c.request.URL.Path)))
 	}
 	if c.key.Adapter != "" {
 		attrs = append(attrs, slog.String("adapter", string(c.key.Adapter)), slog.Uint64("version", uint64(c.version)),
-			slog.Int64("acquire_ms", c.acquired.Milliseconds()), slog.Int64("first_ms", c.first.Milliseconds()),
-			slog.Int("events", c.events))
+			slog.Int("tokens", c.tokens), slog.Int64("acquire_ms", c.acquired.Milliseconds()),
+			slog.Int64("first_ms", c.first.Milliseconds()), slog.Int("events", c.events))
 	}
-	c.gateway.logger.LogAttrs(context.Background(), level, "request", attrs...)
+	return attrs
+}
+
+// clip bounds a caller's text in a log line.
+func clip(text string) string {
+	return text[:min(len(text), maxLogged)]
 }
 
 // copyHead gives an upstream's head to the caller.
--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -269,6 +269,16 @@
 	return l.memory.has(k)
 }
 
+// age is how old the last status is.
+func (l *engineLink) age() time.Duration {
+	if l == nil {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Since(l.heard)
+}
+
 // known reports whether the controller was ever heard of.
 func (l *engineLink) known() bool {
 	l.mu.Lock()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -35,6 +35,7 @@
 		}
 		excluded[in.ID] = true
 		got, err := c.tryPlain(ctx, in)
+		c.logPlainAttempt(in.ID, got, err)
 		switch {
 		case errors.Is(err, forward.ErrNotSent):
 			why = reasonNoUpstream
@@ -61,6 +62,16 @@
 	c.giveUp(ctx, why)
 }
 
+// logPlainAttempt writes a line for an attempt that did not end the call well.
+func (c *call) logPlainAttempt(id sandbarrow.InstanceID, got *wholeAnswer, err error) {
+	switch {
+	case err != nil:
+		c.logAttempt(id, "failed", err.Error(), nil)
+	case got.answer.Status >= http.StatusInternalServerError || c.notRun(got.answer):
+		c.logAttempt(id, "status "+strconv.Itoa(got.answer.Status), "", nil)
+	}
+}
+
 // tryPlain sends the request to one upstream and reads the whole answer.
 func (c *call) tryPlain(ctx context.Context, in *sandbarrow.Instance) (*wholeAnswer, error) {
 	if c.route.Repeatable() && c.ran+1 < c.route.MaxAttempts && c.route.Objective > 0 && c.route.Kind != route.KindStream {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -36,6 +36,9 @@
 // acquireWaits bound the wait for a slot at the first, second and third engine.
 var acquireWaits = [maxAcquires]time.Duration{500 * time.Millisecond, 800 * time.Millisecond, 2 * time.Second}
 
+// refuseNoAnswer stands in logs for a controller that did not answer.
+const refuseNoAnswer enginelink.RefuseReason = "no-answer"
+
 // errStalled ends an attempt whose engine makes no progress.
 const errStalled = errors.ConstError("gateway: stream stalled")
 
@@ -54,6 +57,11 @@
 	verdictNotSent
 )
 
+// String returns the verdict's name in logs.
+func (v verdict) String() string {
+	return [...]string{"answered", "broken", "not-run", "not-sent"}[v]
+}
+
 // serveEngine serves a request that an engine runs.
 func (c *call) serveEngine(ctx context.Context) {
 	excluded := map[sandbarrow.InstanceID]bool{}
@@ -76,6 +84,7 @@
 		acquires++
 		if !ok {
 			why = reasonSlots
+			c.logAttempt(e.instance.ID, "no-grant", string(grant.Refused), e)
 			continue
 		}
 		if !c.mayRepeat() {
@@ -85,6 +94,9 @@
 		}
 		result := c.tryEngine(ctx, e, grant.Version)
 		c.releaseUse(e)
+		if result != verdictAnswered {
+			c.logAttempt(e.instance.ID, result.String(), "", e)
+		}
 		switch result {
 		case verdictAnswered:
 			return
@@ -137,7 +149,10 @@
 		Priority: c.route.Priority, Tokens: c.tokens, Version: c.version, UsefulMS: c.useful().Milliseconds(),
 		WaitMS: max(1, wait.Milliseconds()),
 	})
-	return g, ok && g.Refused == ""
+	if !ok {
+		g.Refused = refuseNoAnswer
+	}
+	return g, g.Refused == ""
 }
 
 // useful is how long a grant still lets the answer be in time.
