Look again at the engine before a request is sent

Cause: by reading: a request may wait seconds for its adapter; the engine may begin to leave meanwhile, and a newer version may be named. Change: after the grant the engine must still be listed and not leaving; each choice takes the newest version. Test: TestTakes.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -26,6 +26,16 @@
 	return v.byService[id]
 }
 
+// Takes reports whether an upstream is still listed and takes new work.
+func (v *View) Takes(in *sandbarrow.Instance) bool {
+	for _, other := range v.Service(in.Service) {
+		if other.ID == in.ID {
+			return !other.Leaving
+		}
+	}
+	return false
+}
+
 // All returns all upstreams.
 func (v *View) All() []*sandbarrow.Instance {
 	var all []*sandbarrow.Instance
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -90,6 +90,17 @@
 	assert.Equal(t, ids(d, "s"), "b d")
 }
 
+// An upstream that leaves, or left the list, takes no more work, however long
+// ago it was chosen.
+func TestTakes(t *testing.T) {
+	d := newDirectory()
+	chosen := d.View().Service("s")
+	d.Update([]sandbarrow.KeyItem{item("a", 6, "s 1 leaving"), gone("b", 7)}, 7)
+	for i, want := range []bool{false, false, true, true} {
+		assert.Equal(t, d.View().Takes(chosen[i]), want, "%s", chosen[i].ID)
+	}
+}
+
 func TestEmptyDirectory(t *testing.T) {
 	d := New(list{}, slog.New(slog.DiscardHandler))
 	assert.Assert(t, d.View() == nil)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -68,6 +68,7 @@
 	why := reasonNoUpstream
 	acquires := 0
 	for ctx.Err() == nil && time.Until(c.ends) > leastSend && acquires < maxAcquires {
+		c.version = c.gateway.estate.View().Version(c.key)
 		e := c.gateway.chooseEngine(c, excluded)
 		if acquires == 0 && (e == nil || !c.gateway.engines.anyUp()) && c.awaitEngines(ctx) {
 			continue
@@ -87,6 +88,11 @@
 			c.logAttempt(e.instance.ID, "no-grant", string(grant.Refused), e)
 			continue
 		}
+		if !c.gateway.directory.View().Takes(e.instance) {
+			c.releaseUse(e) // it began to leave while the adapter came
+			why = reasonNoUpstream
+			continue
+		}
 		if !c.mayRepeat() {
 			c.releaseUse(e)
 			why = reasonBudget
