--- a/controller/controller.go
+++ b/controller/controller.go
@@ -23,6 +23,8 @@
 	tokenPause     = 150 * time.Millisecond
 	// watchWait is the longest wait of one watch of the estate.
 	watchWait = 4 * time.Second
+	// rememberedRecent bounds the list of adapters that left a slot lately.
+	rememberedRecent = 36
 )
 
 // Config is what a Controller needs.
@@ -148,6 +150,20 @@
 	}
 }
 
+// remember notes an adapter that left its slot. The caller holds mu.
+func (c *Controller) remember(key sandbarrow.AdapterKey) {
+	kept := c.recent[:0]
+	for _, k := range c.recent {
+		if k != key {
+			kept = append(kept, k)
+		}
+	}
+	c.recent = append(kept, key)
+	if len(c.recent) > rememberedRecent {
+		c.recent = c.recent[1:]
+	}
+}
+
 // status describes the engine. The caller holds mu.
 func (c *Controller) status() enginelink.Status {
 	s := enginelink.Status{
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -229,34 +229,3 @@
 	o, _ = s.next(now)
 	assert.Equal(t, o.Adapter, sandbarrow.AdapterID("late"))
 }
-
-// When loads take longer because the fleet crowds the weight store, fewer are
-// under way at once; what the engine's own memory has is not held up.
-func TestCrowdedStoreGetsFewerLoads(t *testing.T) {
-	s := newSlots(evict.NewCost())
-	s.capacity = 6
-	now := time.Now()
-	load := func(adapter string, took time.Duration) {
-		s.ordered(now, &sandbarrow.EngineOrder{Adapter: sandbarrow.AdapterID(adapter), Load: true, Model: testModel}, false)
-		s.holds(now.Add(took), key(adapter), 1)
-	}
-	load("quick", 250*time.Millisecond)
-	load("slow1", 900*time.Millisecond)
-	load("slow2", 900*time.Millisecond)
-	load("slow3", 900*time.Millisecond)
-	s.remember(key("recalled"))
-	for _, adapter := range []string{"x", "y", "recalled"} {
-		s.ask(now, &enginelink.Acquire{UsefulMS: 1000}, &use{key: key(adapter)})
-	}
-	var given []sandbarrow.AdapterID
-	for {
-		o, ok := s.next(now)
-		if !ok || len(given) > 5 {
-			break
-		}
-		given = append(given, o.Adapter)
-		s.ordered(now, &o, false)
-	}
-	assert.Equal(t, len(given), 2, "%v", given)
-	assert.Assert(t, given[0] == "recalled" || given[1] == "recalled", "%v", given)
-}
--- a/controller/engineloop.go
+++ b/controller/engineloop.go
@@ -74,7 +74,6 @@
 	if r.Sequence < c.sequence {
 		c.logger.Warn("engine restarted", "sequence", r.Sequence, "before", c.sequence, "instance", string(c.instance))
 		c.instance = ""
-		c.slots.recent = nil
 	}
 	if r.Leaving && !c.reported.Leaving {
 		c.logger.Info("engine leaves")
@@ -156,6 +155,9 @@
 		if o.Adapter != "" && (!o.Load || !done) {
 			c.slots.ordered(c.now(), &o, done)
 		}
+		if !o.Load {
+			c.remember(sandbarrow.AdapterKey{Adapter: o.Adapter, Model: o.Model})
+		}
 		c.mu.Unlock()
 		if done && o.Load || o.Adapter == "" {
 			return comingPoll
--- a/controller/slots.go
+++ b/controller/slots.go
@@ -24,12 +24,6 @@
 	priorityStep = 0.4
 	// lateWorth is the share that a late answer counts.
 	lateWorth = 0.3
-	// rememberedRecent bounds the adapters that are taken to be in the engine's
-	// own memory after they left their slot.
-	rememberedRecent = 32
-	// crowdedLoad is how much longer than the shortest load one takes when the
-	// weight store is crowded.
-	crowdedLoad = 1.6
 )
 
 // slot is one adapter on the engine.
@@ -39,11 +33,9 @@
 	loaded   time.Time
 	// ordered is when the load was ordered; zero where it was not seen.
 	ordered time.Time
-	// recalled says that the adapter came from the engine's own memory.
-	recalled bool
-	state    enginelink.SlotState
-	uses     int
-	version  sandbarrow.AdapterVersion
+	state   enginelink.SlotState
+	uses    int
+	version sandbarrow.AdapterVersion
 }
 
 // want is a set of requests that wait for one adapter.
@@ -106,12 +98,6 @@
 	capacity int
 	demands  map[sandbarrow.AdapterKey]*demand
 	evictor  sandbarrow.Evictor
-	// loads is how many loads from the weight store may be under way, shortest
-	// the shortest that was seen.
-	loads    int
-	shortest time.Duration
-	// recent lists adapters that left their slot, the newest last.
-	recent []sandbarrow.AdapterKey
 	// loadTook is told how long each load took.
 	loadTook func(sandbarrow.AdapterKey, time.Duration)
 	slots    map[sandbarrow.AdapterKey]*slot
@@ -122,7 +108,6 @@
 	return &slots{
 		demands:  map[sandbarrow.AdapterKey]*demand{},
 		evictor:  e,
-		loads:    maxComing,
 		loadTook: func(sandbarrow.AdapterKey, time.Duration) {},
 		slots:    map[sandbarrow.AdapterKey]*slot{},
 		wants:    map[sandbarrow.AdapterKey]*want{},
@@ -274,7 +259,7 @@
 	sl := s.kept(key)
 	if sl.state != enginelink.SlotLoaded {
 		if sl.state == enginelink.SlotLoading && !sl.ordered.IsZero() {
-			s.loaded(sl, now.Sub(sl.ordered))
+			s.loadTook(key, now.Sub(sl.ordered))
 		}
 		sl.state, sl.loaded = enginelink.SlotLoaded, now
 		sl.lastUsed = now
@@ -283,44 +268,6 @@
 	s.slots[key] = sl
 }
 
-// loaded takes the time of a load. The weight store shares its speed among all
-// loads of the fleet: when they take longer, fewer at once bring the first of
-// them sooner.
-func (s *slots) loaded(sl *slot, took time.Duration) {
-	s.loadTook(sl.key, took)
-	if sl.recalled {
-		return
-	}
-	if s.shortest == 0 || took < s.shortest {
-		s.shortest = took
-	}
-	if took.Seconds() > crowdedLoad*s.shortest.Seconds() {
-		s.loads = max(1, s.loads-1)
-		return
-	}
-	s.loads = min(maxComing, s.loads+1)
-}
-
-// remember notes an adapter that left its slot.
-func (s *slots) remember(key sandbarrow.AdapterKey) {
-	s.recent = slices.DeleteFunc(s.recent, func(k sandbarrow.AdapterKey) bool { return k == key })
-	s.recent = append(s.recent, key)
-	if len(s.recent) > rememberedRecent {
-		s.recent = s.recent[1:]
-	}
-}
-
-// crowded reports whether one more load from the weight store is too many.
-func (s *slots) crowded() bool {
-	n := 0
-	for _, sl := range s.slots {
-		if sl.state == enginelink.SlotLoading && !sl.recalled {
-			n++
-		}
-	}
-	return n >= s.loads
-}
-
 // coming counts the adapters on their way.
 func (s *slots) coming() int {
 	n := 0
@@ -388,7 +335,7 @@
 
 // bring orders a load into a free slot, or frees one.
 func (s *slots) bring(now time.Time, w *want) (sandbarrow.EngineOrder, bool) {
-	if s.coming() >= maxComing || s.crowded() && !slices.Contains(s.recent, w.key) {
+	if s.coming() >= maxComing {
 		return sandbarrow.EngineOrder{}, false
 	}
 	if len(s.slots) < s.capacity {
@@ -432,16 +379,12 @@
 	switch {
 	case !o.Load && done:
 		delete(s.slots, key)
-		s.remember(key)
 	case !o.Load:
 		sl.state = enginelink.SlotReplacing
 	case sl != nil:
 		sl.state = enginelink.SlotReplacing
 	default:
-		s.slots[key] = &slot{
-			key: key, lastUsed: now, ordered: now, recalled: slices.Contains(s.recent, key),
-			state: enginelink.SlotLoading, version: o.Version,
-		}
+		s.slots[key] = &slot{key: key, lastUsed: now, ordered: now, state: enginelink.SlotLoading, version: o.Version}
 	}
 }
 
