Tell a restarted controller which uses go on

By reading: a grant that came while its link ended left a use behind for good. Change: gateways tell their uses when a link is made again; uses are counted by adapter, whether its slot is reported yet or not; an ended link takes no use. Tests: TestUsesOutliveTheController, TestGrantToEndedLinkIsReleased.

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -229,3 +229,45 @@
 	o, _ = s.next(now)
 	assert.Equal(t, o.Adapter, sandbarrow.AdapterID("late"))
 }
+
+// A controller that starts anew is told which uses go on, and unloads none of
+// their adapters, though it has not read the engine's report before.
+func TestUsesOutliveTheController(t *testing.T) {
+	f := newFakeEngine(testSlots)
+	f.models = []sandbarrow.BaseModelID{testModel}
+	for i := range testSlots {
+		f.loaded[key(fmt.Sprintf("old%d", i))] = 1
+	}
+	c := newTestController(t, f)
+	l := &link{controller: c, ctx: t.Context(), uses: map[sandbarrow.RequestID]*use{}}
+	c.links[l] = true
+	for i := range testSlots - 1 {
+		l.adopt(&enginelink.Acquire{Adapter: sandbarrow.AdapterID(fmt.Sprintf("old%d", i)), ID: sandbarrow.RequestID(fmt.Sprint(i)), Model: testModel})
+	}
+	_, _ = ask(c, "new", 0)
+	step(t, c)
+	step(t, c)
+	for i := range testSlots - 1 {
+		_, held := f.loaded[key(fmt.Sprintf("old%d", i))]
+		assert.Assert(t, held, "old%d was unloaded under a run", i)
+	}
+	_, held := f.loaded[key("new")]
+	assert.Assert(t, held)
+	l.note("0", true)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	assert.Equal(t, c.slots.uses[key("old0")], 0)
+}
+
+// A grant that comes while its link ends leaves no use behind.
+func TestGrantToEndedLinkIsReleased(t *testing.T) {
+	c := newTestController(t, newFakeEngine(testSlots))
+	l := &link{closed: true, controller: c, ctx: t.Context(), uses: map[sandbarrow.RequestID]*use{}}
+	u := &use{key: key("a")}
+	c.mu.Lock()
+	c.slots.hold(c.now(), u)
+	c.mu.Unlock()
+	l.granted(&enginelink.Acquire{ID: "1"}, u, enginelink.Grant{})
+	assert.Equal(t, len(l.uses), 0)
+	assert.Equal(t, c.slots.uses[key("a")], 0)
+}
--- a/controller/link.go
+++ b/controller/link.go
@@ -19,6 +19,9 @@
 
 // link is the connection of one gateway.
 type link struct {
+	// closed says that the uses of the link were released; guarded by the
+	// controller's mu.
+	closed     bool
 	controller *Controller
 	ctx        context.Context
 	news       chan struct{}
@@ -69,6 +72,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.links, l)
+	l.closed = true
 	for _, u := range l.uses {
 		c.slots.release(c.now(), u)
 	}
@@ -98,6 +102,13 @@
 		}
 		go enginelink.TakeMark(l.ctx, l.rpc, c.estate, m)
 		return nil, nil
+	case enginelink.MethodUsing:
+		var q enginelink.Acquire
+		if err := wire.Decode(r, &q); err != nil {
+			return nil, err
+		}
+		l.adopt(&q)
+		return nil, nil
 	case enginelink.MethodBegun, enginelink.MethodDone:
 		var u enginelink.Use
 		if err := wire.Decode(r, &u); err != nil {
@@ -150,7 +161,7 @@
 	select {
 	case g := <-w.grant: // it came meanwhile
 		if g.Refused == "" {
-			l.uses[q.ID] = u
+			l.keep(q.ID, u)
 		}
 		return g
 	default:
@@ -190,15 +201,34 @@
 		c.metrics.refused(g.Refused)
 		return g
 	}
-	if l.ctx.Err() != nil {
-		c.slots.release(c.now(), u)
-		return g
-	}
-	l.uses[q.ID] = u
+	l.keep(q.ID, u)
 	c.announce()
 	return g
 }
 
+// keep notes a granted use, or releases it where the link has ended meanwhile.
+// The caller holds the controller's mu.
+func (l *link) keep(id sandbarrow.RequestID, u *use) {
+	if l.closed {
+		l.controller.slots.release(l.controller.now(), u)
+		return
+	}
+	l.uses[id] = u
+}
+
+// adopt takes a use that was granted before this controller started.
+func (l *link) adopt(q *enginelink.Acquire) {
+	c := l.controller
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if l.uses[q.ID] != nil {
+		return
+	}
+	u := &use{begun: true, key: sandbarrow.AdapterKey{Adapter: q.Adapter, Model: q.Model}, tokens: q.Tokens}
+	c.slots.hold(c.now(), u)
+	l.keep(q.ID, u)
+}
+
 // ask queues a request, or refuses it at once.
 func (l *link) ask(q *enginelink.Acquire, u *use) (*waiter, enginelink.RefuseReason) {
 	c := l.controller
--- a/controller/slots.go
+++ b/controller/slots.go
@@ -34,7 +34,6 @@
 	// ordered is when the load was ordered; zero where it was not seen.
 	ordered time.Time
 	state   enginelink.SlotState
-	uses    int
 	version sandbarrow.AdapterVersion
 }
 
@@ -101,7 +100,9 @@
 	// loadTook is told how long each load took.
 	loadTook func(sandbarrow.AdapterKey, time.Duration)
 	slots    map[sandbarrow.AdapterKey]*slot
-	wants    map[sandbarrow.AdapterKey]*want
+	// uses counts the granted uses of each adapter.
+	uses  map[sandbarrow.AdapterKey]int
+	wants map[sandbarrow.AdapterKey]*want
 }
 
 func newSlots(e sandbarrow.Evictor) *slots {
@@ -110,6 +111,7 @@
 		evictor:  e,
 		loadTook: func(sandbarrow.AdapterKey, time.Duration) {},
 		slots:    map[sandbarrow.AdapterKey]*slot{},
+		uses:     map[sandbarrow.AdapterKey]int{},
 		wants:    map[sandbarrow.AdapterKey]*want{},
 	}
 }
@@ -141,9 +143,7 @@
 }
 
 func (s *slots) grant(now time.Time, sl *slot, w *waiter) {
-	sl.uses++
-	sl.lastUsed = now
-	w.use.granted = true
+	s.hold(now, w.use)
 	w.grant <- enginelink.Grant{Version: sl.version}
 }
 
@@ -190,11 +190,27 @@
 
 // release ends a granted use.
 func (s *slots) release(now time.Time, u *use) {
-	if sl := s.slots[u.key]; sl != nil && u.granted {
-		sl.uses = max(0, sl.uses-1)
-		sl.lastUsed = now
+	if !u.granted {
+		return
 	}
 	u.granted = false
+	s.uses[u.key]--
+	if s.uses[u.key] <= 0 {
+		delete(s.uses, u.key)
+	}
+	if sl := s.slots[u.key]; sl != nil {
+		sl.lastUsed = now
+	}
+}
+
+// hold counts a granted use, whether the engine has reported its adapter yet
+// or not.
+func (s *slots) hold(now time.Time, u *use) {
+	u.granted = true
+	s.uses[u.key]++
+	if sl := s.slots[u.key]; sl != nil {
+		sl.lastUsed = now
+	}
 }
 
 // settle grants what waits for adapters that are loaded now.
@@ -284,7 +300,7 @@
 func (s *slots) free() int {
 	n := s.capacity - len(s.slots)
 	for key, sl := range s.slots {
-		if sl.state == enginelink.SlotLoaded && sl.uses == 0 && s.wants[key] == nil {
+		if sl.state == enginelink.SlotLoaded && s.uses[key] == 0 && s.wants[key] == nil {
 			n++
 		}
 	}
@@ -305,7 +321,7 @@
 			if o, ok := s.bring(now, wanted); ok {
 				return o, true
 			}
-		case sl.state == enginelink.SlotLoaded && sl.version < wanted.version && sl.uses == 0 && s.coming() < maxComing:
+		case sl.state == enginelink.SlotLoaded && sl.version < wanted.version && s.uses[wanted.key] == 0 && s.coming() < maxComing:
 			return loadOrder(wanted), true
 		}
 	}
@@ -344,7 +360,7 @@
 	var idle []sandbarrow.SlotView
 	var keys []sandbarrow.AdapterKey
 	for key, sl := range s.slots {
-		if sl.state != enginelink.SlotLoaded || sl.uses > 0 || s.wants[key] != nil {
+		if sl.state != enginelink.SlotLoaded || s.uses[key] > 0 || s.wants[key] != nil {
 			continue
 		}
 		idle = append(idle, sandbarrow.SlotView{
@@ -392,7 +408,7 @@
 func (s *slots) status() []enginelink.SlotStatus {
 	list := make([]enginelink.SlotStatus, 0, len(s.slots))
 	for key, sl := range s.slots {
-		list = append(list, enginelink.SlotStatus{Adapter: key.Adapter, Model: key.Model, State: sl.state, Uses: sl.uses, Version: sl.version})
+		list = append(list, enginelink.SlotStatus{Adapter: key.Adapter, Model: key.Model, State: sl.state, Uses: s.uses[key], Version: sl.version})
 	}
 	slices.SortFunc(list, func(a, b enginelink.SlotStatus) int {
 		if a.Adapter < b.Adapter {
--- a/enginelink/messages.go
+++ b/enginelink/messages.go
@@ -24,6 +24,8 @@
 	MethodMark = "estate.mark"
 	// MethodStatus tells gateways of an engine.
 	MethodStatus = "engine.status"
+	// MethodUsing tells a controller that was started anew of a use that goes on.
+	MethodUsing = "engine.using"
 )
 
 const (
--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,6 +56,8 @@
 	// waiting are the prompts granted to this gateway whose answer has not
 	// begun, told the part that the last status counts already.
 	waiting, told int
+	// using are the granted uses, to be told to a controller that starts anew.
+	using map[sandbarrow.RequestID]*enginelink.Acquire
 }
 
 // controllerAddress is where the controller of an engine listens.
@@ -168,11 +172,17 @@
 	l.mu.Lock()
 	l.rpc, l.heard = rpc, time.Now()
 	hello := enginelink.Hello{Box: l.gateway.config.Box, Token: l.status.Token}
+	using := slices.Collect(maps.Values(l.using))
 	l.mu.Unlock()
 	close(ready)
 	if rpc.Notify(ctx, enginelink.MethodHello, hello) != nil {
 		return
 	}
+	for _, q := range using {
+		if rpc.Notify(ctx, enginelink.MethodUsing, q) != nil {
+			return
+		}
+	}
 	go enginelink.TellMarks(ctx, rpc, l.gateway.estate)
 	l.gateway.logger.Info("controller linked", "controller", l.address)
 	for l.up(time.Now()) {
@@ -319,13 +329,29 @@
 		// The grant may still come; it must not hold its slot.
 		_ = rpc.Notify(context.WithoutCancel(ctx), enginelink.MethodDone, enginelink.Use{ID: q.ID})
 	}
+	if err == nil && g.Refused == "" {
+		l.note(q)
+	}
 	return g, err == nil
 }
 
+// note keeps a granted use.
+func (l *engineLink) note(q *enginelink.Acquire) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.using == nil {
+		l.using = map[sandbarrow.RequestID]*enginelink.Acquire{}
+	}
+	l.using[q.ID] = q
+}
+
 // tell notes the progress of a granted use.
 func (l *engineLink) tell(method string, id sandbarrow.RequestID) {
 	l.mu.Lock()
 	rpc := l.rpc
+	if method == enginelink.MethodDone {
+		delete(l.using, id)
+	}
 	l.mu.Unlock()
 	if rpc != nil {
 		_ = rpc.Notify(context.Background(), method, enginelink.Use{ID: id}) // a lost link frees all uses
