Keep learning the list of upstreams from peers while the store is silent

Change: a gateway whose list the store has not confirmed for 2.5 s asks its peers and takes the list that stands for the newer revision. Test: TestStartInOutageLearnsFromPeers goes on to a later change.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -69,7 +69,11 @@
 	logger *slog.Logger
 	view   atomic.Pointer[View]
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// at is the store's revision that the view stands for, heard when it was
+	// last confirmed.
+	at      sandbarrow.StoreRevision
+	heard   time.Time
 	fading  map[sandbarrow.InstanceID]bool
 	entries map[sandbarrow.InstanceID]listed
 }
@@ -89,36 +93,42 @@
 	return d.view.Load()
 }
 
-// Items returns the entries, for a peer that can't read the store.
-func (d *Directory) Items() []sandbarrow.KeyItem {
+// Items returns the entries and the revision that they stand for, for a peer
+// that can't read the store.
+func (d *Directory) Items() ([]sandbarrow.KeyItem, sandbarrow.StoreRevision) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	items := make([]sandbarrow.KeyItem, 0, len(d.entries))
 	for _, l := range d.entries {
 		items = append(items, l.item)
 	}
-	return items
+	return items, d.at
 }
 
-// Adopt takes a peer's entries while nothing is known yet, and reports whether
-// it did. The store's own word replaces them.
-func (d *Directory) Adopt(items []sandbarrow.KeyItem) bool {
+// Adopt takes a peer's entries if they stand for a newer revision, and reports
+// whether it did.
+func (d *Directory) Adopt(items []sandbarrow.KeyItem, at sandbarrow.StoreRevision) bool {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	if len(items) == 0 || d.view.Load() != nil {
-		return false
-	}
-	for _, it := range items {
-		d.put(it)
+	newer := at > d.at && len(items) > 0
+	d.mu.Unlock()
+	if newer {
+		d.Replace(items, at)
 	}
-	d.publish()
-	return true
+	return newer
+}
+
+// Age is how long ago the view was confirmed, by the store or a peer.
+func (d *Directory) Age() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Since(d.heard)
 }
 
 // Replace takes the whole list.
-func (d *Directory) Replace(items []sandbarrow.KeyItem, _ sandbarrow.StoreRevision) {
+func (d *Directory) Replace(items []sandbarrow.KeyItem, at sandbarrow.StoreRevision) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.confirm(at)
 	present := map[sandbarrow.InstanceID]bool{}
 	for _, it := range items {
 		present[d.list.InstanceID(it.Key)] = true
@@ -135,12 +145,13 @@
 }
 
 // Update takes changes of the list.
-func (d *Directory) Update(items []sandbarrow.KeyItem, _ sandbarrow.StoreRevision) {
+func (d *Directory) Update(items []sandbarrow.KeyItem, at sandbarrow.StoreRevision) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.confirm(at)
 	if len(items) == 0 {
 		return
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	last := map[sandbarrow.InstanceID]bool{}
 	for _, it := range items {
 		last[d.list.InstanceID(it.Key)] = it.Gone
@@ -158,6 +169,12 @@
 	d.publish()
 }
 
+// confirm notes that the view stands for a revision now. The caller holds mu.
+func (d *Directory) confirm(at sandbarrow.StoreRevision) {
+	d.at = max(d.at, at)
+	d.heard = time.Now()
+}
+
 func (d *Directory) put(it sandbarrow.KeyItem) {
 	instance, err := d.list.Instance(it)
 	if err != nil {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -8,7 +8,6 @@
 	"github.com/sourcegraph/jsonrpc2"
 	"golang.org/x/sync/errgroup"
 
-	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
 	"sandbarrow.example/sandbarrow/forward"
 	"sandbarrow.example/sandbarrow/wire"
@@ -17,6 +16,10 @@
 const (
 	// peerPause is the pause between rounds of asking peers.
 	peerPause = 200 * time.Millisecond
+	// listSilence is how long the store may leave the list unconfirmed before
+	// peers are asked, stalePause the pause between rounds then.
+	listSilence = 2500 * time.Millisecond
+	stalePause  = 700 * time.Millisecond
 	// peerTimeout bounds one question to a peer.
 	peerTimeout = 800 * time.Millisecond
 )
@@ -52,7 +55,8 @@
 		case enginelink.MethodFetch:
 			return enginelink.ServeFetch(rpc, r, g.estate)
 		case methodInstances:
-			return g.directory.Items(), nil
+			items, at := g.directory.Items()
+			return enginelink.Estate{Items: items, Mark: at}, nil
 		}
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
 	}))
@@ -60,11 +64,20 @@
 	context.AfterFunc(ctx, func() { _ = rpc.Close() })
 }
 
-// learnFromPeers asks peers for the estate and the list of upstreams until
-// both are known, from them or from the store.
+// learnFromPeers asks peers for the estate and the list of upstreams while they
+// are not known yet, or the store has not confirmed the list for some time.
 func (g *Gateway) learnFromPeers(ctx context.Context) error {
-	for ctx.Err() == nil && (g.estate.View() == nil || g.directory.View() == nil) {
-		sleep(ctx, peerPause)
+	for ctx.Err() == nil {
+		known := g.estate.View() != nil && g.directory.View() != nil
+		switch {
+		case !known:
+			sleep(ctx, peerPause)
+		case g.directory.Age() < listSilence:
+			sleep(ctx, listSilence-g.directory.Age())
+			continue
+		default:
+			sleep(ctx, stalePause)
+		}
 		var group errgroup.Group
 		for _, address := range g.config.Peers {
 			group.Go(func() error {
@@ -92,8 +105,8 @@
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
 	}))
 	defer rpc.Close()
-	var items []sandbarrow.KeyItem
-	if err := rpc.Call(ctx, methodInstances, enginelink.Mark{}, &items); err != nil {
+	var list enginelink.Estate
+	if err := rpc.Call(ctx, methodInstances, enginelink.Mark{}, &list); err != nil {
 		return err
 	}
 	mark, _ := g.estate.Mark()
@@ -102,8 +115,8 @@
 		return err
 	}
 	g.estate.Update(estate.Items, estate.Mark)
-	if g.directory.Adopt(items) {
-		g.logger.Info("upstreams learnt from a peer", "peer", address, "upstreams", len(items))
+	if g.directory.Adopt(list.Items, list.Mark) {
+		g.logger.Info("upstreams learnt from a peer", "peer", address, "upstreams", len(list.Items), "revision", uint64(list.Mark))
 	}
 	return nil
 }
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -57,6 +57,13 @@
 	eventually(t, g.Ready)
 	assert.Equal(t, g.estate.View().Table.Version, f.version)
 	assert.Equal(t, len(g.directory.View().All()), 2)
+
+	// What changes later reaches it too, though its own store stays down.
+	f.list(t, f.runners[1], f.runners[1].server.Listener.Addr().String(), true)
+	eventually(t, func() bool {
+		plain := g.directory.View().Service(testPlain)
+		return len(plain) == 1 && plain[0].Leaving
+	})
 }
 
 // A gateway whose links all fall silent is itself cut off: it is not ready.
