Bound the weight of a copy in a crowd of loads

Change: the crowd raises the weight by two at most; a stream is not given up before the prompts ahead of it can have been read. Test: TestChooseEngine, a copy elsewhere though all engines load.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -21,6 +21,9 @@
 	// freeLoads is how many loads the weight store bears at once before each
 	// takes longer.
 	freeLoads = 8
+	// mostCrowd bounds how much a crowd of loads raises the weight of a copy: an
+	// engine that has many requests behind it needs one all the same.
+	mostCrowd = 2
 	// recallDelay is the time to bring an adapter from the engine's own memory.
 	recallDelay = 40 * time.Millisecond
 	// copyDelay weighs the price of another copy of an adapter that another
@@ -123,7 +126,7 @@
 	crowd := time.Duration(max(freeLoads, coming+1))
 	f := survey{loadDelay: loadDelay * crowd / freeLoads}
 	if had {
-		f.copyDelay = copyDelay * crowd / freeLoads
+		f.copyDelay = copyDelay * min(crowd, mostCrowd*freeLoads) / freeLoads
 	}
 	return f
 }
--- /dev/null
+++ b/gateway/choose_test.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"gotest.tools/v3/assert"
+
+	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/route"
+)
+
+// chooserOf returns a gateway that believes what the statuses say, one engine each.
+func chooserOf(t testing.TB, statuses ...enginelink.Status) *Gateway {
+	t.Helper()
+	g := newLoneGateway()
+	g.logger = slog.New(slog.DiscardHandler)
+	var items []sandbarrow.KeyItem
+	for i, s := range statuses {
+		host := fmt.Sprintf("10.0.%d.%d", i/200, 1+i%200)
+		text := fmt.Sprintf(`{"Address":"%s:80","ID":"e%d","Service":"%s"}`, host, i, testEngines)
+		items = append(items, sandbarrow.KeyItem{Key: fmt.Sprintf("up/e%d", i), Revision: 1, Value: []byte(text)})
+		s.Models = []sandbarrow.BaseModelID{testModel}
+		g.engines.links[host+":"] = &engineLink{gateway: g, heard: time.Now().Add(time.Hour), rpc: &jsonrpc2.Conn{}, status: s}
+	}
+	g.directory.Replace(items, 1)
+	return g
+}
+
+func callFor(g *Gateway, adapter string, tokens int) *call {
+	return &call{
+		affinity: adapter, began: time.Now(), gateway: g, key: sandbarrow.AdapterKey{Adapter: sandbarrow.AdapterID(adapter), Model: testModel},
+		route: &route.Route{Objective: time.Second}, service: &route.Service{ID: testEngines, Engine: &route.Engine{}}, tokens: tokens,
+	}
+}
+
+func loaded(adapter string) []enginelink.SlotStatus {
+	return []enginelink.SlotStatus{{Adapter: sandbarrow.AdapterID(adapter), Model: testModel, State: enginelink.SlotLoaded, Version: 1}}
+}
+
+func loading(n int) []enginelink.SlotStatus {
+	var slots []enginelink.SlotStatus
+	for i := range n {
+		slots = append(slots, enginelink.SlotStatus{Adapter: sandbarrow.AdapterID(fmt.Sprintf("l%d", i)), Model: testModel, State: enginelink.SlotLoading})
+	}
+	return slots
+}
+
+func TestChooseEngine(t *testing.T) {
+	busy := make([]enginelink.Status, 20)
+	for i := range busy {
+		busy[i] = enginelink.Status{Free: 2, Slots: loading(4)}
+	}
+	for name, tc := range map[string]struct {
+		statuses []enginelink.Status
+		want     func(i int) bool
+	}{
+		"where it is loaded": {
+			[]enginelink.Status{{Free: 6}, {Free: 5, Slots: loaded("a")}, {Free: 6}}, func(i int) bool { return i == 1 },
+		},
+		"where it is loaded, though more waits there": {
+			[]enginelink.Status{{Free: 6}, {Free: 5, Slots: loaded("a"), WaitingTokens: 6000}}, func(i int) bool { return i == 1 },
+		},
+		"elsewhere when it would be late there": {
+			[]enginelink.Status{{Free: 6}, {Free: 5, Slots: loaded("a"), WaitingTokens: 30000}}, func(i int) bool { return i == 0 },
+		},
+		"where a slot is free": {
+			[]enginelink.Status{{Free: 0}, {Free: -2}, {Free: 1}}, func(i int) bool { return i == 2 },
+		},
+		"not where the engine is silent or leaves": {
+			[]enginelink.Status{{Free: 5, Silent: true, Slots: loaded("a")}, {Free: 5, Leaving: true, Slots: loaded("a")}, {Free: 0}},
+			func(i int) bool { return i == 2 },
+		},
+		"a copy elsewhere though all engines load": {
+			append([]enginelink.Status{{Free: 5, Slots: loaded("a"), WaitingTokens: 95000}}, busy...), func(i int) bool { return i != 0 },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := chooserOf(t, tc.statuses...)
+			e := g.chooseEngine(callFor(g, "a", 2000), nil)
+			assert.Assert(t, e != nil)
+			var i int
+			_, err := fmt.Sscanf(string(e.instance.ID), "e%d", &i)
+			assert.NilError(t, err)
+			assert.Assert(t, tc.want(i), "chose %s", e.instance.ID)
+		})
+	}
+}
+
+// An answer that would wait for a slot everywhere is late and full, so that a
+// first try is refused at once; one that waits for loads alone is not.
+func TestFullAndLate(t *testing.T) {
+	g := chooserOf(t, enginelink.Status{Free: 0}, enginelink.Status{Free: -1})
+	e := g.chooseEngine(callFor(g, "a", 2000), nil)
+	assert.Assert(t, e.full && e.late)
+	g = chooserOf(t, enginelink.Status{Free: 1, WaitingTokens: 30000})
+	e = g.chooseEngine(callFor(g, "a", 2000), nil)
+	assert.Assert(t, e.late && !e.full)
+}
+
+// BenchmarkChooseEngine is the cost of a choice among the engines of a service.
+func BenchmarkChooseEngine(b *testing.B) {
+	for _, n := range []int{18, 200, 4000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			statuses := make([]enginelink.Status, n)
+			for i := range statuses {
+				statuses[i] = enginelink.Status{Free: 3, Slots: loading(3)}
+			}
+			g := chooserOf(b, statuses...)
+			c := callFor(g, "a", 2000)
+			b.ReportAllocs()
+			for b.Loop() {
+				_ = g.chooseEngine(c, nil)
+			}
+		})
+	}
+}
--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -264,6 +264,9 @@
 // waitingTokens estimates the prompts that the engine has yet to read, from all
 // gateways by the last status and from this one since then.
 func (l *engineLink) waitingTokens() int {
+	if l == nil {
+		return 0
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return max(0, l.status.WaitingTokens+l.waiting-l.told)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -318,9 +318,9 @@
 		case <-ctx.Done():
 			return
 		}
-		limit := firstGap
-		if p.begun.Load() {
-			limit = longestGap
+		limit := longestGap
+		if !p.begun.Load() {
+			limit = firstGap + time.Duration(e.link.waitingTokens())*tokenDelay
 		}
 		if status, linked := e.link.look(time.Now()); linked && status.Silent {
 			limit = silentGap
