Give waiting and accepting one place each

Cause: three copies of a wait that ends with its context, two accept loops, a field that nothing read. Change: internal/pause, enginelink.Accept. The wait of entry stays: it jitters.

--- a/config/apply.go
+++ b/config/apply.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/pause"
 )
 
 // ApplyResult says how an apply ended.
@@ -158,7 +159,7 @@
 		case err == nil:
 			return ApplyAccepted, next, nil
 		case errors.Is(err, sandbarrow.ErrStoreUnavailable):
-			sleep(ctx, applyPause)
+			pause.For(ctx, applyPause)
 			continue
 		}
 		lost = lost || !errors.Is(err, sandbarrow.ErrStoreConflict)
@@ -210,14 +211,7 @@
 		if err = call(); err == nil || ctx.Err() != nil || errors.Is(err, ErrInvalid) {
 			return err
 		}
-		sleep(ctx, applyPause)
+		pause.For(ctx, applyPause)
 	}
 	return err
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/config/follower.go
+++ b/config/follower.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/pause"
 )
 
 // followPause is the mean pause after a failed watch; it is jittered so that
@@ -98,7 +99,7 @@
 			continue
 		}
 		f.logger.Warn("configuration not read", "error", err.Error())
-		sleep(ctx, followPause/2+rand.N(followPause))
+		pause.For(ctx, followPause/2+rand.N(followPause))
 	}
 	return nil
 }
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -13,6 +13,7 @@
 	"sandbarrow.example/sandbarrow/enginelink"
 	"sandbarrow.example/sandbarrow/estate"
 	"sandbarrow.example/sandbarrow/evict"
+	"sandbarrow.example/sandbarrow/internal/pause"
 	"sandbarrow.example/sandbarrow/prefixwatch"
 )
 
@@ -103,7 +104,7 @@
 	for ctx.Err() == nil && c.currentToken() == 0 {
 		c.renewToken(ctx)
 		if c.currentToken() == 0 {
-			pause(ctx, tokenPause)
+			pause.For(ctx, tokenPause)
 		}
 	}
 	return nil
@@ -186,10 +187,3 @@
 	}
 	return s
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/controller/link.go
+++ b/controller/link.go
@@ -11,6 +11,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/internal/pause"
 	"sandbarrow.example/sandbarrow/wire"
 )
 
@@ -32,20 +33,7 @@
 
 // Serve takes links until ctx ends.
 func (c *Controller) Serve(ctx context.Context, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
-	defer stop()
-	for {
-		conn, err := listener.Accept()
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			c.logger.Warn("link not taken", "error", err.Error())
-			pause(ctx, publishPause)
-			continue
-		}
-		go c.serveLink(ctx, conn)
-	}
+	return enginelink.Accept(ctx, listener, c.logger, c.serveLink)
 }
 
 func (c *Controller) serveLink(ctx context.Context, conn net.Conn) {
@@ -285,7 +273,7 @@
 // this process lives.
 func (c *Controller) heartbeatLoop(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, enginelink.Heartbeat)
+		pause.For(ctx, enginelink.Heartbeat)
 		c.publish()
 	}
 	return nil
@@ -306,7 +294,7 @@
 			}
 			sent, at = s, time.Now()
 		}
-		pause(ctx, publishPause)
+		pause.For(ctx, publishPause)
 		select {
 		case <-l.news:
 		case <-ctx.Done():
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -15,6 +15,7 @@
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/estate"
 	"sandbarrow.example/sandbarrow/forward"
+	"sandbarrow.example/sandbarrow/internal/pause"
 	"sandbarrow.example/sandbarrow/route"
 )
 
@@ -74,10 +75,8 @@
 
 	// affinity is what upstreams are ranked by.
 	affinity string
-	// demand is the decayed count of requests for the adapter here.
-	demand float64
-	key    sandbarrow.AdapterKey
-	tokens int
+	key      sandbarrow.AdapterKey
+	tokens   int
 	// awaiting is the part of tokens that an engine has yet to read.
 	awaiting int
 	version  sandbarrow.AdapterVersion
@@ -141,7 +140,7 @@
 		if time.Since(began) > viewWait || ctx.Err() != nil {
 			return nil
 		}
-		sleep(ctx, lookPause)
+		pause.For(ctx, lookPause)
 	}
 }
 
--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -13,6 +13,7 @@
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
 	"sandbarrow.example/sandbarrow/forward"
+	"sandbarrow.example/sandbarrow/internal/pause"
 	"sandbarrow.example/sandbarrow/wire"
 )
 
@@ -112,7 +113,7 @@
 func (e *engines) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		e.adjust(ctx)
-		sleep(ctx, enginesPause)
+		pause.For(ctx, enginesPause)
 	}
 	return nil
 }
@@ -155,7 +156,7 @@
 		if err == nil {
 			l.serve(ctx, conn)
 		}
-		sleep(ctx, jitter(redialPause))
+		pause.For(ctx, jitter(redialPause))
 	}
 }
 
@@ -360,10 +361,3 @@
 		_ = rpc.Notify(context.Background(), method, enginelink.Use{ID: id}) // a lost link frees all uses
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -10,6 +10,7 @@
 
 	"sandbarrow.example/sandbarrow/enginelink"
 	"sandbarrow.example/sandbarrow/forward"
+	"sandbarrow.example/sandbarrow/internal/pause"
 	"sandbarrow.example/sandbarrow/wire"
 )
 
@@ -30,20 +31,7 @@
 // ServePeers answers other gateways that start while the store can't be read,
 // until ctx ends.
 func (g *Gateway) ServePeers(ctx context.Context, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
-	defer stop()
-	for {
-		conn, err := listener.Accept()
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			g.logger.Warn("peer not taken", "error", err.Error())
-			sleep(ctx, peerPause)
-			continue
-		}
-		g.servePeer(ctx, conn)
-	}
+	return enginelink.Accept(ctx, listener, g.logger, g.servePeer)
 }
 
 func (g *Gateway) servePeer(ctx context.Context, conn net.Conn) {
@@ -71,12 +59,12 @@
 		known := g.estate.View() != nil && g.directory.View() != nil
 		switch {
 		case !known:
-			sleep(ctx, peerPause)
+			pause.For(ctx, peerPause)
 		case g.directory.Age() < listSilence:
-			sleep(ctx, listSilence-g.directory.Age())
+			pause.For(ctx, listSilence-g.directory.Age())
 			continue
 		default:
-			sleep(ctx, stalePause)
+			pause.For(ctx, stalePause)
 		}
 		var group errgroup.Group
 		for _, address := range g.config.Peers {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -14,6 +14,7 @@
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
 	"sandbarrow.example/sandbarrow/forward"
+	"sandbarrow.example/sandbarrow/internal/pause"
 )
 
 const (
@@ -136,7 +137,7 @@
 	if time.Since(c.began) > enginesWait {
 		return false
 	}
-	sleep(ctx, lookPause)
+	pause.For(ctx, lookPause)
 	return ctx.Err() == nil
 }
 
--- /dev/null
+++ b/internal/pause/pause.go
@@ -0,0 +1,20 @@
+// Package pause waits for a time or the end of a context.
+package pause
+
+import (
+	"context"
+	"time"
+)
+
+// For waits until d has passed or ctx ends, whichever comes first.
+func For(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/prefixwatch/prefixwatch.go
+++ b/prefixwatch/prefixwatch.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/pause"
 )
 
 const (
@@ -53,7 +54,7 @@
 func (w *Watch) Run(ctx context.Context) error {
 	var at sandbarrow.StoreRevision
 	known, up := false, true
-	pause := firstPause
+	backoff := firstPause
 	for ctx.Err() == nil {
 		began := time.Now()
 		next, err := w.step(ctx, at, known)
@@ -62,8 +63,8 @@
 			if !up {
 				w.Logger.Info("store regained", "prefix", w.Prefix, "revision", uint64(next))
 			}
-			at, known, up, pause = next, true, true, firstPause
-			sleep(ctx, w.pace()-time.Since(began))
+			at, known, up, backoff = next, true, true, firstPause
+			pause.For(ctx, w.pace()-time.Since(began))
 		case ctx.Err() != nil:
 		default:
 			if errors.Is(err, sandbarrow.ErrStoreCompacted) {
@@ -73,8 +74,8 @@
 				w.Logger.Warn("store lost", "prefix", w.Prefix, "revision", uint64(at), "error", err.Error())
 			}
 			up = false
-			sleep(ctx, pause/2+rand.N(pause))
-			pause = min(2*pause, longestPause)
+			pause.For(ctx, backoff/2+rand.N(backoff))
+			backoff = min(2*backoff, longestPause)
 		}
 	}
 	return nil
@@ -105,13 +106,3 @@
 	}
 	return next, err
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
