Keep connections longer and watch the estate in fewer calls

Change: an idle connection is kept for 60 s where the runner names no time; a controller's watch waits 12 s in place of 4, since gateways bring what it misses.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -22,8 +22,9 @@
 	tokenKeyPrefix = "sandbarrow/token/"
 	tokenTimeout   = 700 * time.Millisecond
 	tokenPause     = 150 * time.Millisecond
-	// watchWait is the longest wait of one watch of the estate.
-	watchWait = 4 * time.Second
+	// watchWait is the longest wait of one watch of the estate. Each call has its
+	// price, and gateways bring what a lost watch would miss.
+	watchWait = 12 * time.Second
 	// rememberedRecent bounds the list of adapters that left a slot lately.
 	rememberedRecent = 36
 )
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -21,8 +21,9 @@
 	DialTimeout = 350 * time.Millisecond
 	// unackedTimeout ends a connection whose bytes the peer does not confirm.
 	unackedTimeout = 2 * time.Second
-	// keptIdle bounds how long a connection rests when the upstream names no time.
-	keptIdle = 8 * time.Second
+	// keptIdle bounds how long a connection rests when the upstream names no time;
+	// one that was closed meanwhile is seen before its next use.
+	keptIdle = 60 * time.Second
 	// idleMargin ends an idle connection before the upstream does.
 	idleMargin      = 300 * time.Millisecond
 	readBufferBytes = 4 << 10
