Take the pace of the list from the bound for leaving upstreams

Cause: by reading: the pace was fixed, though deployments differ in the bound; and a grace for many that vanish together held with a sound store too, past the bound. Test: TestMassGoneAfterOutage; many gone at once from a sound store now leave at once, which is stricter than before.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -48,10 +48,16 @@
 	return all
 }
 
-// vanishGrace is how long upstreams that left the list together stay in use:
-// leases that lapsed in an outage of the store look so, and the upstreams
-// list themselves again within a heartbeat.
-const vanishGrace = 1300 * time.Millisecond
+const (
+	// vanishGrace is how long upstreams that left the list together after an
+	// outage of the store stay in use: their leases have lapsed in it, and they
+	// list themselves again within a heartbeat.
+	vanishGrace = 1300 * time.Millisecond
+	// outageSilence is how long the store is silent before that is an outage.
+	outageSilence = 2500 * time.Millisecond
+	// outageEcho is how long after an outage leases may turn out to have lapsed.
+	outageEcho = 5 * time.Second
+)
 
 // massShare is the part of all upstreams whose leaving at once is taken for a
 // lapse of the store.
@@ -171,8 +177,11 @@
 
 // confirm notes that the view stands for a revision now. The caller holds mu.
 func (d *Directory) confirm(at sandbarrow.StoreRevision) {
-	d.at = max(d.at, at)
-	d.heard = time.Now()
+	now := time.Now()
+	if !d.heard.IsZero() && now.Sub(d.heard) > outageSilence {
+		d.outage = now
+	}
+	d.at, d.heard = max(d.at, at), now
 }
 
 func (d *Directory) put(it sandbarrow.KeyItem) {
@@ -197,7 +206,8 @@
 		_, known := d.entries[id]
 		return !known
 	})
-	mass := len(gone) > 1 && len(gone)*massShare >= len(d.entries)
+	lapsed := !d.outage.IsZero() && time.Since(d.outage) < outageEcho
+	mass := lapsed && len(gone) > 1 && len(gone)*massShare >= len(d.entries)
 	for _, id := range gone {
 		d.logger.Info("upstream no longer listed", "upstream", string(id), "address", d.entries[id].instance.Address, "together", len(gone))
 		if !mass {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -68,7 +68,7 @@
 		"restarted":         {[]sandbarrow.KeyItem{item("x", 6, "s 2")}, "a x c d"},
 		"late word of old":  {[]sandbarrow.KeyItem{item("x", 9, "s 2"), item("b", 6, "s 2")}, "a x c d"},
 		"another's address": {[]sandbarrow.KeyItem{item("x", 6, "t 2")}, "a c d"},
-		"many gone at once": {[]sandbarrow.KeyItem{gone("a", 6), gone("b", 7), gone("c", 8)}, "a b c d"},
+		"many gone at once": {[]sandbarrow.KeyItem{gone("a", 6), gone("b", 7), gone("c", 8)}, "d"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := newDirectory()
@@ -78,10 +78,13 @@
 	}
 }
 
-// Upstreams that left together and do not come back leave after the grace.
-func TestMassGoneEnds(t *testing.T) {
+// Upstreams that left together after an outage of the store stay in use for a
+// grace, and those that do not come back leave after it.
+func TestMassGoneAfterOutage(t *testing.T) {
 	d := newDirectory()
+	d.heard = time.Now().Add(-2 * outageSilence)
 	d.Update([]sandbarrow.KeyItem{gone("a", 6), gone("b", 7), gone("c", 8)}, 8)
+	assert.Equal(t, ids(d, "s"), "a b c d")
 	d.Update([]sandbarrow.KeyItem{item("b", 9, "s 2")}, 9)
 	deadline := time.Now().Add(3 * vanishGrace)
 	for ids(d, "s") != "b d" && time.Now().Before(deadline) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,10 +29,11 @@
 const (
 	// estateWait is the longest wait of one watch of the estate.
 	estateWait = 3 * time.Second
-	// listWait and listPace bound the watch of the list of upstreams, whose
-	// heartbeats change it all the time.
-	listWait = 3 * time.Second
-	listPace = 1100 * time.Millisecond
+	// listWait bounds the watch of the list of upstreams, whose heartbeats change
+	// it all the time; listShare is the part of the bound for leaving upstreams
+	// that may pass between two watches.
+	listWait  = 3 * time.Second
+	listShare = 0.55
 	// DefaultAcceptAfterStop is how long a stopping gateway takes new
 	// connections, until the balancer has surely seen that it is not ready.
 	DefaultAcceptAfterStop = 2600 * time.Millisecond
@@ -59,8 +60,10 @@
 	Box            sandbarrow.BoxID
 	Headers        sandbarrow.HeaderNames
 	Instances      sandbarrow.InstanceList
-	Logger         *slog.Logger
-	Metrics        prometheus.Registerer
+	// LeaveBound is how soon a leaving upstream must get nothing new.
+	LeaveBound time.Duration
+	Logger     *slog.Logger
+	Metrics    prometheus.Registerer
 	// Peers are addresses of other gateways; some may be stale or down.
 	Peers []string
 	// RetryShare is the share of a service's requests that may be sent again.
@@ -123,7 +126,7 @@
 		Consumer: g.estate, Logger: g.logger, Prefix: g.config.Documents.Prefix(), Store: g.config.Store, Wait: estateWait,
 	}
 	listWatch := prefixwatch.Watch{
-		Consumer: g.directory, Logger: g.logger, Hurry: g.awaitsUpstreams, Pace: listPace, Prefix: g.config.Instances.Prefix(), Store: g.config.Store, Wait: listWait,
+		Consumer: g.directory, Logger: g.logger, Hurry: g.awaitsUpstreams, Pace: time.Duration(listShare * float64(g.config.LeaveBound)), Prefix: g.config.Instances.Prefix(), Store: g.config.Store, Wait: listWait,
 	}
 	group.Go(func() error { return estateWatch.Run(work) })
 	group.Go(func() error { return listWatch.Run(work) })
--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -35,7 +35,7 @@
 	}
 	g := gateway.New(gateway.Config{
 		AcceptAfterStop: gateway.DefaultAcceptAfterStop, Box: s.Box.ID, ControllerPort: strconv.Itoa(s.Gateway.ControllerPort), Documents: platform.Documents{},
-		Domain: s.Box.FailureDomain, Headers: platform.Headers, Instances: platform.Instances{}, Logger: d.logger,
+		Domain: s.Box.FailureDomain, Headers: platform.Headers, Instances: platform.Instances{}, LeaveBound: time.Duration(s.Gateway.LeaveBound), Logger: d.logger,
 		Metrics: d.registry, Peers: s.Gateway.Peers, RetryBurst: s.Gateway.RetryBurst, RetryShare: s.Gateway.RetryShare,
 		StopGrace: time.Duration(s.Gateway.StopGrace), Store: platform.NewStore(s.Platform.Store, platformClient()),
 	})
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -58,6 +58,8 @@
 type Gateway struct {
 	// ControllerPort is the port of the controllers on the engines' boxes.
 	ControllerPort int `json:"controller_port"`
+	// LeaveBound is how soon a leaving upstream must get nothing new.
+	LeaveBound jsonc.Duration `json:"leave_bound"`
 	// Peers are peer addresses of other gateways, which are asked when the store
 	// can't be read at the start; some may be stale or down.
 	Peers []string `json:"peers"`
@@ -180,6 +182,7 @@
 		setDefault(&e.StopGrace, jsonc.Duration(120*time.Second))
 	}
 	if g := s.Gateway; g != nil {
+		setDefault(&g.LeaveBound, jsonc.Duration(2*time.Second))
 		setDefault(&g.RetryBurst, 7)
 		setDefault(&g.RetryShare, 0.1)
 		setDefault(&g.StopGrace, jsonc.Duration(8*time.Second))
@@ -271,6 +274,7 @@
 	c.address("listen.ready", s.Listen.Ready)
 	c.address("listen.metrics", s.Listen.Metrics)
 	c.require(g.ControllerPort > 0 && g.ControllerPort <= maxPort, "gateway.controller_port", "%d is no port", g.ControllerPort)
+	c.require(g.LeaveBound > 0, "gateway.leave_bound", "must be positive")
 	for i, peer := range g.Peers {
 		c.address(fmt.Sprintf("gateway.peers[%d]", i), peer)
 	}
