--- a/directory/directory.go
+++ b/directory/directory.go
@@ -78,8 +78,10 @@
 	mu sync.Mutex
 	// at is the store's revision that the view stands for, heard when it was
 	// last confirmed.
-	at      sandbarrow.StoreRevision
-	heard   time.Time
+	at    sandbarrow.StoreRevision
+	heard time.Time
+	// outage is when the store was heard again after an outage.
+	outage  time.Time
 	fading  map[sandbarrow.InstanceID]bool
 	entries map[sandbarrow.InstanceID]listed
 }
