Share the allowance for repeats by the gateways that are seen

Cause: by reading: the burst of repeats was a fixed number for each gateway; with some dozen gateways their sum would pass the users' slack. Change: share and slack are the fleet's, filled from the platform's bounds; half is used, divided by the gateways that controllers see, and two while none is seen. Tests: TestRetryAllowanceIsShared, TestDirectPath.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -169,7 +169,7 @@
 // status describes the engine. The caller holds mu.
 func (c *Controller) status() enginelink.Status {
 	s := enginelink.Status{
-		Free: c.slots.free(), Instance: c.instance, Leaving: c.reported.Leaving || c.stopping,
+		Free: c.slots.free(), Gateways: len(c.links), Instance: c.instance, Leaving: c.reported.Leaving || c.stopping,
 		Silent: c.failedReports >= silentAfter, Slots: c.slots.status(), Token: c.token,
 	}
 	for _, m := range c.reported.Models {
--- a/enginelink/messages.go
+++ b/enginelink/messages.go
@@ -152,7 +152,9 @@
 // Status is what a controller knows of its engine.
 type Status struct {
 	// Free counts the slots that are free or could be made free at once.
-	Free     int                      `json:"f"`
+	Free int `json:"f"`
+	// Gateways counts the gateways that are linked to the controller.
+	Gateways int                      `json:"g"`
 	Instance sandbarrow.InstanceID    `json:"i,omitempty"`
 	Leaving  bool                     `json:"leaving,omitempty"`
 	Models   []sandbarrow.BaseModelID `json:"m,omitempty"`
--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -96,6 +96,21 @@
 	return known >= isolatedLeast && silent*isolatedOf >= known*isolatedSilent
 }
 
+// gateways is how many gateways there are, as the controllers see them; 0 while
+// no controller was heard of.
+func (e *engines) gateways() int {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	most := 0
+	for _, l := range e.links {
+		if s, up := l.look(now); up {
+			most = max(most, s.Gateways)
+		}
+	}
+	return most
+}
+
 // anyUp reports whether any controller was heard of lately.
 func (e *engines) anyUp() bool {
 	now := time.Now()
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -241,7 +241,7 @@
 	}
 	f.gateway = New(Config{
 		AcceptAfterStop: 100 * time.Millisecond, Box: "gateway", ControllerPort: port, Documents: testDocuments{}, Headers: testNames, Instances: testInstances{},
-		Logger: logger, Metrics: prometheus.NewRegistry(), RetryBurst: 10, RetryShare: 0.1, StopGrace: 4 * time.Second, Store: f.store,
+		Logger: logger, Metrics: prometheus.NewRegistry(), RetryShare: 0.2, RetrySlack: 50, StopGrace: 4 * time.Second, Store: f.store,
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,6 +39,10 @@
 	DefaultAcceptAfterStop = 2600 * time.Millisecond
 	// startTime is how long after a start upstreams may not be listed yet.
 	startTime = 4 * time.Second
+	// retryPart is the part of the fleet's allowance for repeats that is used.
+	retryPart = 0.5
+	// unknownBurst is the burst while the number of gateways is not known.
+	unknownBurst = 2
 	// stopMargin ends a planned stop before the platform does.
 	stopMargin = 300 * time.Millisecond
 	// headerTimeout bounds the arrival of a request's head.
@@ -66,12 +70,11 @@
 	Metrics    prometheus.Registerer
 	// Peers are addresses of other gateways; some may be stale or down.
 	Peers []string
-	// RetryShare is the share of a service's requests that may be sent again.
-	RetryShare float64
-	// RetryBurst is how many repeats a quiet time saves up, per service.
-	RetryBurst float64
-	StopGrace  time.Duration
-	Store      sandbarrow.PrefixStore
+	// RetryShare is the share of a service's requests that all gateways together
+	// may send again, RetrySlack how many more within the users' window.
+	RetryShare, RetrySlack float64
+	StopGrace              time.Duration
+	Store                  sandbarrow.PrefixStore
 }
 
 // Gateway serves callers.
@@ -189,18 +192,30 @@
 	return time.Since(*began), true
 }
 
-// budget returns the retry budget of a service.
+// budget returns the retry budget of a service: a part of what all gateways
+// together may repeat, since one that restarts begins with a full budget.
 func (g *Gateway) budget(id sandbarrow.ServiceID) *retry.Budget {
+	most := g.retryBurst()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	b := g.budgets[id]
 	if b == nil {
-		b = retry.NewBudgetOf(g.config.RetryShare, g.config.RetryBurst)
+		b = retry.NewBudgetOf(g.config.RetryShare*retryPart, most)
 		g.budgets[id] = b
 	}
+	b.SetMost(most)
 	return b
 }
 
+// retryBurst is how many repeats this gateway may save up.
+func (g *Gateway) retryBurst() float64 {
+	n := g.engines.gateways()
+	if n == 0 {
+		return min(unknownBurst, g.config.RetrySlack)
+	}
+	return g.config.RetrySlack * retryPart / float64(n)
+}
+
 // pool returns the connections to an upstream.
 func (g *Gateway) pool(in *sandbarrow.Instance) *forward.Pool {
 	g.mu.Lock()
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -34,7 +34,7 @@
 func newLoneGateway(peers ...string) *Gateway {
 	return New(Config{
 		Documents: testDocuments{}, Headers: testNames, Instances: testInstances{}, Logger: slog.New(slog.DiscardHandler),
-		Metrics: prometheus.NewRegistry(), Peers: peers, Store: downStore{}, StopGrace: time.Second,
+		Metrics: prometheus.NewRegistry(), Peers: peers, RetryShare: 0.2, RetrySlack: 60, Store: downStore{}, StopGrace: time.Second,
 	})
 }
 
@@ -88,3 +88,26 @@
 	g.engines.links["a"].heard = time.Now()
 	assert.Assert(t, g.Ready())
 }
+
+// The allowance for repeats is shared by all gateways that the controllers see,
+// and is small while none is seen.
+func TestRetryAllowanceIsShared(t *testing.T) {
+	g := newLoneGateway()
+	assert.Equal(t, g.retryBurst(), float64(unknownBurst))
+	status := enginelink.Status{Gateways: 10, Models: []sandbarrow.BaseModelID{testModel}}
+	g.engines.links["a"] = &engineLink{gateway: g, heard: time.Now(), rpc: &jsonrpc2.Conn{}, status: status}
+	assert.Equal(t, g.retryBurst(), 3.0)
+	taken := 0
+	b := g.budget("s")
+	for b.Retry() {
+		taken++
+	}
+	assert.Equal(t, taken, 3)
+	for range 100 {
+		g.budget("s").Request()
+	}
+	for b.Retry() {
+		taken++
+	}
+	assert.Equal(t, taken, 6, "no more than the burst is saved up")
+}
--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -36,7 +36,7 @@
 	g := gateway.New(gateway.Config{
 		AcceptAfterStop: gateway.DefaultAcceptAfterStop, Box: s.Box.ID, ControllerPort: strconv.Itoa(s.Gateway.ControllerPort), Documents: platform.Documents{},
 		Domain: s.Box.FailureDomain, Headers: platform.Headers, Instances: platform.Instances{}, LeaveBound: time.Duration(s.Gateway.LeaveBound), Logger: d.logger,
-		Metrics: d.registry, Peers: s.Gateway.Peers, RetryBurst: s.Gateway.RetryBurst, RetryShare: s.Gateway.RetryShare,
+		Metrics: d.registry, Peers: s.Gateway.Peers, RetryShare: s.Gateway.RetryShare, RetrySlack: s.Gateway.RetrySlack,
 		StopGrace: time.Duration(s.Gateway.StopGrace), Store: platform.NewStore(s.Platform.Store, platformClient()),
 	})
 	return d.run(c.ctx, "gateway", func(ctx context.Context) error {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -42,3 +42,11 @@
 	b.saved--
 	return true
 }
+
+// SetMost changes how many retries a quiet time saves up.
+func (b *Budget) SetMost(most float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.most = most
+	b.saved = min(b.saved, most)
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -63,10 +63,11 @@
 	// Peers are peer addresses of other gateways, which are asked when the store
 	// can't be read at the start; some may be stale or down.
 	Peers []string `json:"peers"`
-	// RetryBurst is how many repeats a quiet time saves up, per service.
-	RetryBurst float64 `json:"retry_burst"`
-	// RetryShare is the share of a service's requests that may be sent again.
+	// RetryShare is the share of a service's requests that all gateways together
+	// may send again.
 	RetryShare float64 `json:"retry_share"`
+	// RetrySlack is how many repeats they may send beyond that share.
+	RetrySlack float64 `json:"retry_slack"`
 	// StopGrace bounds a planned stop; what still runs then is cut.
 	StopGrace jsonc.Duration `json:"stop_grace"`
 }
@@ -183,8 +184,8 @@
 	}
 	if g := s.Gateway; g != nil {
 		setDefault(&g.LeaveBound, jsonc.Duration(2*time.Second))
-		setDefault(&g.RetryBurst, 7)
-		setDefault(&g.RetryShare, 0.1)
+		setDefault(&g.RetrySlack, 50)
+		setDefault(&g.RetryShare, 0.2)
 		setDefault(&g.StopGrace, jsonc.Duration(8*time.Second))
 	}
 	if a := s.Agent; a != nil {
@@ -278,7 +279,7 @@
 	for i, peer := range g.Peers {
 		c.address(fmt.Sprintf("gateway.peers[%d]", i), peer)
 	}
-	c.require(g.RetryBurst >= 0, "gateway.retry_burst", "must not be negative")
+	c.require(g.RetrySlack >= 0, "gateway.retry_slack", "must not be negative")
 	c.require(g.RetryShare >= 0 && g.RetryShare <= 1, "gateway.retry_share", "%v: want 0 to 1", g.RetryShare)
 	c.require(g.StopGrace > 0, "gateway.stop_grace", "must be positive")
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -62,3 +63,30 @@
 		}
 	})
 }
+
+// The examples of the direct path are valid, and each fault in them is named.
+func TestDirectPath(t *testing.T) {
+	for name, tc := range map[string]struct{ file, old, replaced, want string }{
+		"gateway":            {"gateway", "", "", ""},
+		"controller":         {"controller", "", "", ""},
+		"no port":            {"gateway", `"controller_port": 7380`, `"controller_port": 0`, "gateway.controller_port: 0 is no port"},
+		"bad peer":           {"gateway", `["127.0.0.1:8144"]`, `["there:1"]`, "gateway.peers[0]"},
+		"no readiness check": {"gateway", `"ready": "127.0.0.1:8141",`, ``, "listen.ready"},
+		"negative slack":     {"gateway", `"retry_slack": 58`, `"retry_slack": -1`, "gateway.retry_slack"},
+		"no engine":          {"controller", `"engine": "127.0.0.1:8145", `, ``, "controller.engine"},
+		"no service":         {"controller", `, "service": "lm-resolve"`, ``, "controller.service: is missing"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			text, err := os.ReadFile("../examples/address-" + tc.file + ".json")
+			assert.NilError(t, err)
+			changed := strings.Replace(string(text), tc.old, tc.replaced, 1)
+			_, err = Parse("f", []byte(changed))
+			if tc.want == "" {
+				assert.NilError(t, err)
+				return
+			}
+			assert.Assert(t, changed != string(text))
+			assert.ErrorContains(t, err, tc.want)
+		})
+	}
+}
