Wait in tests until a frozen process has stopped

SIGSTOP is not immediate: beside eight busy processes an agent's threads ran on for up to 11 ms after the signal, and the request that was sent at once had started there; the answer that it may have run was true. Change: signal waits for SIGSTOP to take hold. No assertion is changed.

--- a/internal/systest/system_test.go
+++ b/internal/systest/system_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -109,6 +110,41 @@
 func (p *process) signal(t testing.TB, s os.Signal) {
 	t.Helper()
 	assert.NilError(t, p.cmd.Process.Signal(s))
+	if s == syscall.SIGSTOP {
+		p.awaitStop(t)
+	}
+}
+
+// awaitStop waits until all threads of a process that was told to stop have
+// stopped: one that still runs after the signal was sent can start a request.
+func (p *process) awaitStop(t testing.TB) {
+	t.Helper()
+	began := time.Now()
+	for !p.stopped(t) {
+		if time.Since(began) > 10*time.Second {
+			t.Fatal("a process runs on 10 s after SIGSTOP")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Logf("stopped after %v", time.Since(began))
+}
+
+// stopped reports whether all threads of a process are stopped.
+func (p *process) stopped(t testing.TB) bool {
+	t.Helper()
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	assert.NilError(t, err)
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			continue // the thread has ended
+		}
+		_, state, _ := strings.Cut(string(text), ") ")
+		if !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return true
 }
 
 // exits waits for the end of a process.
