Publish a controller's status once for all gateways, at a bounded rate

Cause: each link computed, compared and encoded the status by itself, up to twenty times a second: at 30 gateways and 55 controllers some 30,000 messages a second, most of the bytes between failure domains, and processor time on both sides.

Change: one loop encodes the status; the links send the same bytes. The pause between two statuses grows with the gateways beyond ten. Removed: the list of adapters that left a slot, the flag that was never set. A link that is slow leaves out what was overtaken.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -25,8 +25,6 @@
 	// watchWait is the longest wait of one watch of the estate. Each call has its
 	// price, and gateways bring what a lost watch would miss.
 	watchWait = 12 * time.Second
-	// rememberedRecent bounds the list of adapters that left a slot lately.
-	rememberedRecent = 36
 )
 
 // Config is what a Controller needs.
@@ -59,14 +57,13 @@
 	mu            sync.Mutex
 	failedReports int
 	// instance is the engine's start, or "" while it is not known.
-	instance sandbarrow.InstanceID
-	links    map[*link]bool
-	recent   []sandbarrow.AdapterKey
-	reported sandbarrow.EngineReport
-	sequence uint64
-	slots    *slots
-	stopping bool
-	token    sandbarrow.FencingToken
+	instance  sandbarrow.InstanceID
+	links     map[*link]bool
+	published *publisher
+	reported  sandbarrow.EngineReport
+	sequence  uint64
+	slots     *slots
+	token     sandbarrow.FencingToken
 }
 
 // New returns a controller; Run starts it.
@@ -74,7 +71,7 @@
 	e := estate.New(c.Documents, c.Logger)
 	k := &Controller{
 		box: c.Box, control: c.Control, engine: c.Engine, estate: e, links: map[*link]bool{}, logger: c.Logger,
-		metrics: newMetrics(c.Metrics), now: time.Now, service: c.Service, slots: newSlots(evict.NewCost()), store: c.Store,
+		metrics: newMetrics(c.Metrics), now: time.Now, published: newPublisher(), service: c.Service, slots: newSlots(evict.NewCost()), store: c.Store,
 		wake: make(chan struct{}, 1),
 		watch: prefixwatch.Watch{
 			Consumer: e, Logger: c.Logger, Prefix: c.Documents.Prefix(), Store: c.Store, Wait: watchWait,
@@ -96,7 +93,7 @@
 	g.Go(func() error { return c.watch.Run(ctx) })
 	g.Go(func() error { return c.tokenLoop(ctx) })
 	g.Go(func() error { return c.engineLoop(ctx) })
-	g.Go(func() error { return c.heartbeatLoop(ctx) })
+	g.Go(func() error { return c.publishLoop(ctx) })
 	return g.Wait()
 }
 
@@ -152,24 +149,10 @@
 	}
 }
 
-// remember notes an adapter that left its slot. The caller holds mu.
-func (c *Controller) remember(key sandbarrow.AdapterKey) {
-	kept := c.recent[:0]
-	for _, k := range c.recent {
-		if k != key {
-			kept = append(kept, k)
-		}
-	}
-	c.recent = append(kept, key)
-	if len(c.recent) > rememberedRecent {
-		c.recent = c.recent[1:]
-	}
-}
-
 // status describes the engine. The caller holds mu.
 func (c *Controller) status() enginelink.Status {
 	s := enginelink.Status{
-		Free: c.slots.free(), Gateways: len(c.links), Instance: c.instance, Leaving: c.reported.Leaving || c.stopping,
+		Free: c.slots.free(), Gateways: len(c.links), Instance: c.instance, Leaving: c.reported.Leaving,
 		Silent: c.failedReports >= silentAfter, Slots: c.slots.status(), Token: c.token,
 	}
 	for _, m := range c.reported.Models {
--- a/controller/engineloop.go
+++ b/controller/engineloop.go
@@ -38,7 +38,7 @@
 		if err == nil {
 			pause = min(pause, c.giveOrders(ctx, report.Sequence))
 		}
-		c.publish()
+		c.published.announce()
 		select {
 		case <-time.After(pause):
 		case <-c.wake:
@@ -155,9 +155,6 @@
 		if o.Adapter != "" && (!o.Load || !done) {
 			c.slots.ordered(c.now(), &o, done)
 		}
-		if !o.Load {
-			c.remember(sandbarrow.AdapterKey{Adapter: o.Adapter, Model: o.Model})
-		}
 		c.mu.Unlock()
 		if done && o.Load || o.Adapter == "" {
 			return comingPoll
@@ -210,7 +207,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	view := c.estate.View()
-	if view == nil || c.token == 0 || c.reported.Leaving || c.stopping {
+	if view == nil || c.token == 0 || c.reported.Leaving {
 		return sandbarrow.EngineOrder{}, false
 	}
 	service := view.Table.Services[c.service]
--- a/controller/link.go
+++ b/controller/link.go
@@ -3,21 +3,15 @@
 import (
 	"context"
 	"net"
-	"reflect"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
-	"sandbarrow.example/sandbarrow/internal/pause"
 	"sandbarrow.example/sandbarrow/wire"
 )
 
-// publishPause is the shortest time between two statuses on a link.
-const publishPause = 50 * time.Millisecond
-
 // link is the connection of one gateway.
 type link struct {
 	// closed says that the uses of the link were released; guarded by the
@@ -49,6 +43,8 @@
 	close(ready)
 	c.mu.Lock()
 	c.links[l] = true
+	c.published.message = nil // the new link has seen no status
+	c.published.announce()
 	c.mu.Unlock()
 	go enginelink.TellMarks(ctx, l.rpc, c.estate)
 	go l.tellStatus(ctx)
@@ -64,6 +60,7 @@
 	for _, u := range l.uses {
 		c.slots.release(c.now(), u)
 	}
+	c.published.announce()
 	c.rouse()
 }
 
@@ -125,7 +122,7 @@
 			c.rouse()
 		}
 	}
-	c.announce()
+	c.published.announce()
 }
 
 // acquire waits for the use of an adapter.
@@ -190,7 +187,7 @@
 		return g
 	}
 	l.keep(q.ID, u)
-	c.announce()
+	c.published.announce()
 	return g
 }
 
@@ -223,7 +220,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.reported.Leaving || c.stopping:
+	case c.reported.Leaving:
 		return nil, enginelink.RefuseLeaving
 	case c.failedReports >= silentAfter:
 		return nil, enginelink.RefuseSilent
@@ -252,52 +249,28 @@
 	return false
 }
 
-// announce makes all links tell their status soon. The caller holds mu.
-func (c *Controller) announce() {
-	for l := range c.links {
-		select {
-		case l.news <- struct{}{}:
-		default:
-		}
-	}
-}
-
-// publish announces the status.
-func (c *Controller) publish() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.announce()
-}
-
-// heartbeatLoop announces the status now and then, so that gateways see that
-// this process lives.
-func (c *Controller) heartbeatLoop(ctx context.Context) error {
-	for ctx.Err() == nil {
-		pause.For(ctx, enginelink.Heartbeat)
-		c.publish()
+// wake makes the link send the status.
+func (l *link) wake() {
+	select {
+	case l.news <- struct{}{}:
+	default:
 	}
-	return nil
 }
 
-// tellStatus sends statuses that differ from the last, and heartbeats.
+// tellStatus sends each published status. One that is overtaken while the link
+// is slow is left out.
 func (l *link) tellStatus(ctx context.Context) {
-	var sent enginelink.Status
-	var at time.Time
 	for ctx.Err() == nil {
-		l.controller.mu.Lock()
-		s := l.controller.status()
-		l.controller.mu.Unlock()
-		s.Compact()
-		if time.Since(at) >= enginelink.Heartbeat-publishPause || !reflect.DeepEqual(s, sent) {
-			if err := l.rpc.Notify(ctx, enginelink.MethodStatus, s); err != nil && !errors.Is(err, context.Canceled) {
-				return
-			}
-			sent, at = s, time.Now()
-		}
-		pause.For(ctx, publishPause)
 		select {
 		case <-l.news:
 		case <-ctx.Done():
+			return
+		}
+		l.controller.mu.Lock()
+		message := l.controller.published.message
+		l.controller.mu.Unlock()
+		if err := l.rpc.Notify(ctx, enginelink.MethodStatus, message); err != nil {
+			return
 		}
 	}
 }
--- /dev/null
+++ b/controller/publisher.go
@@ -0,0 +1,87 @@
+package controller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"time"
+
+	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/internal/pause"
+)
+
+const (
+	// publishPause is the shortest time between two statuses.
+	publishPause = 50 * time.Millisecond
+	// publishShare is what each linked gateway adds to that time, so that the
+	// statuses that a controller sends in a second are bounded.
+	publishShare = 5 * time.Millisecond
+)
+
+// publisher keeps the status in the form in which all links send it. It is
+// guarded by the controller's mu.
+type publisher struct {
+	at time.Time
+	// changed holds one word that the status may differ from the last.
+	changed chan struct{}
+	message json.RawMessage
+}
+
+func newPublisher() *publisher {
+	return &publisher{changed: make(chan struct{}, 1)}
+}
+
+// announce makes the controller tell its status soon.
+func (p *publisher) announce() {
+	select {
+	case p.changed <- struct{}{}:
+	default:
+	}
+}
+
+// take takes a status and reports whether the links are to send it: because it
+// differs from the last, or because a heartbeat is due.
+func (p *publisher) take(now time.Time, s enginelink.Status) bool {
+	s.Compact()
+	message, err := json.Marshal(s)
+	if err != nil {
+		return false // a status holds nothing that can't be encoded
+	}
+	if bytes.Equal(message, p.message) && now.Sub(p.at) < enginelink.Heartbeat-publishPause {
+		return false
+	}
+	p.at, p.message = now, message
+	return true
+}
+
+// publishEvery is the shortest time between two statuses for so many gateways.
+func publishEvery(gateways int) time.Duration {
+	return max(publishPause, time.Duration(gateways)*publishShare)
+}
+
+// publishLoop encodes the status when it may have changed, and at each
+// heartbeat, so that gateways see that this process lives.
+func (c *Controller) publishLoop(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause.For(ctx, c.publishNow())
+		select {
+		case <-c.published.changed:
+		case <-time.After(enginelink.Heartbeat - publishPause):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+// publishNow gives the links a status that is due, and returns how long no
+// other is to follow.
+func (c *Controller) publishNow() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.published.take(c.now(), c.status()) {
+		for l := range c.links {
+			l.wake()
+		}
+	}
+	return publishEvery(len(c.links))
+}
--- /dev/null
+++ b/controller/publisher_test.go
@@ -0,0 +1,62 @@
+package controller
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"gotest.tools/v3/assert"
+
+	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/wire"
+)
+
+func TestPublisherTellsChangesAndHeartbeats(t *testing.T) {
+	p := newPublisher()
+	now := time.Now()
+	assert.Assert(t, p.take(now, enginelink.Status{Free: 1}))
+	assert.Assert(t, !p.take(now.Add(publishPause), enginelink.Status{Free: 1}))
+	assert.Assert(t, p.take(now.Add(publishPause), enginelink.Status{Free: 2}))
+	assert.Assert(t, p.take(now.Add(publishPause+enginelink.Heartbeat), enginelink.Status{Free: 2}))
+}
+
+// The statuses that a controller sends in a second must not grow with the
+// number of gateways, however often its engine changes.
+func TestStatusesOfManyGatewaysAreBounded(t *testing.T) {
+	const gateways = 40
+	c := newTestController(t, newFakeEngine(testSlots))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = c.publishLoop(ctx) }()
+	var sent atomic.Int64
+	for range gateways {
+		near, far := net.Pipe()
+		go c.serveLink(ctx, near)
+		rpc := jsonrpc2.NewConn(ctx, wire.NewStream(far), wire.Handler(func(_ context.Context, r *jsonrpc2.Request) (any, error) {
+			if r.Method == enginelink.MethodStatus {
+				sent.Add(1)
+			}
+			return nil, nil
+		}))
+		defer rpc.Close()
+	}
+	deadline := time.Now().Add(5 * time.Second)
+	for sent.Load() < gateways && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, sent.Load() >= gateways, "every link is told a status")
+	began, before := time.Now(), sent.Load()
+	for time.Since(began) < time.Second {
+		c.mu.Lock()
+		c.reported.Leaving = !c.reported.Leaving
+		c.published.announce()
+		c.mu.Unlock()
+		time.Sleep(5 * time.Millisecond)
+	}
+	rate := float64(sent.Load()-before) / time.Since(began).Seconds()
+	most := float64(time.Second/publishShare) + gateways
+	assert.Assert(t, rate <= most, "%.0f statuses a second, at most %.0f", rate, most)
+}
