Count prompts that wait for adapters; refuse by the owner's count; bound loads in a crowd; retry failing engines

Change: waiting prompts are counted from the request for the adapter on; a request names how many prompt tokens may wait for its engine to be the best, and a controller where more wait refuses at once with its count, so that the gateway chooses anew; loads from the weight store pass an additive window a controller, most valuable first, while the engine's own memory is no part of it; a failing engine is replaced as a broken one is, its answer kept for the end; 0.8 of the allowance's share is used in place of 0.5 (0.5 of its slack as before). A planned stop ends 0.5 s before the grace does.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -160,14 +160,26 @@
 	}
 	for l := range c.links {
 		for _, u := range l.uses {
-			if !u.granted {
-				continue
-			}
-			s.Running++
-			if !u.begun {
-				s.WaitingTokens += u.tokens
+			if u.granted {
+				s.Running++
 			}
 		}
 	}
+	s.WaitingTokens = c.waitingTokens()
 	return s
 }
+
+// waitingTokens counts the prompts that the engine has yet to read: those
+// granted whose answer has not begun, and those that wait for their adapter.
+// The caller holds mu.
+func (c *Controller) waitingTokens() int {
+	n := c.slots.waitingTokens()
+	for l := range c.links {
+		for _, u := range l.uses {
+			if u.granted && !u.begun {
+				n += u.tokens
+			}
+		}
+	}
+	return n
+}
--- a/controller/link.go
+++ b/controller/link.go
@@ -129,9 +129,10 @@
 func (l *link) acquire(q *enginelink.Acquire) enginelink.Grant {
 	c := l.controller
 	u := &use{key: sandbarrow.AdapterKey{Adapter: q.Adapter, Model: q.Model}, tokens: q.Tokens}
-	w, refused := l.ask(q, u)
-	if refused != "" {
-		return enginelink.Grant{Refused: refused}
+	w, refusal := l.ask(q, u)
+	if w == nil {
+		c.metrics.refused(refusal.Refused)
+		return refusal
 	}
 	if g, ok := l.await(w, time.Duration(q.WaitMS)*time.Millisecond); ok {
 		return l.granted(q, u, g)
@@ -214,30 +215,36 @@
 	l.keep(q.ID, u)
 }
 
-// ask queues a request, or refuses it at once.
-func (l *link) ask(q *enginelink.Acquire, u *use) (*waiter, enginelink.RefuseReason) {
+// ask queues a request, or refuses it at once; then the waiter is nil.
+func (l *link) ask(q *enginelink.Acquire, u *use) (*waiter, enginelink.Grant) {
 	c := l.controller
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.reported.Leaving:
-		return nil, enginelink.RefuseLeaving
+		return nil, enginelink.Grant{Refused: enginelink.RefuseLeaving}
 	case c.failedReports >= silentAfter:
-		return nil, enginelink.RefuseSilent
+		return nil, enginelink.Grant{Refused: enginelink.RefuseSilent}
 	case !c.holdsModel(q.Model):
-		return nil, enginelink.RefuseNoModel
+		return nil, enginelink.Grant{Refused: enginelink.RefuseNoModel}
+	}
+	if q.MostWaiting > 0 {
+		if waiting := c.waitingTokens(); waiting > q.MostWaiting {
+			return nil, enginelink.Grant{Refused: enginelink.RefuseBusy, Waiting: waiting}
+		}
 	}
 	if q.Adapter == "" {
 		w := &waiter{grant: make(chan enginelink.Grant, 1), use: u}
 		u.granted = true
 		w.grant <- enginelink.Grant{}
-		return w, ""
+		return w, enginelink.Grant{}
 	}
 	w := c.slots.ask(c.now(), q, u)
 	if !u.granted {
 		c.rouse()
+		c.published.announce()
 	}
-	return w, ""
+	return w, enginelink.Grant{}
 }
 
 func (c *Controller) holdsModel(m sandbarrow.BaseModelID) bool {
--- a/controller/slots.go
+++ b/controller/slots.go
@@ -5,12 +5,14 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/recall"
 )
 
 const (
@@ -33,8 +35,10 @@
 	loaded   time.Time
 	// ordered is when the load was ordered; zero where it was not seen.
 	ordered time.Time
-	state   enginelink.SlotState
-	version sandbarrow.AdapterVersion
+	// recalled says that the engine's own memory had the adapter.
+	recalled bool
+	state    enginelink.SlotState
+	version  sandbarrow.AdapterVersion
 }
 
 // want is a set of requests that wait for one adapter.
@@ -99,10 +103,13 @@
 	evictor  sandbarrow.Evictor
 	// loadTook is told how long each load took.
 	loadTook func(sandbarrow.AdapterKey, time.Duration)
-	slots    map[sandbarrow.AdapterKey]*slot
+	// memory is what the engine's own memory should hold.
+	memory recall.Memory
+	slots  map[sandbarrow.AdapterKey]*slot
 	// uses counts the granted uses of each adapter.
-	uses  map[sandbarrow.AdapterKey]int
-	wants map[sandbarrow.AdapterKey]*want
+	uses   map[sandbarrow.AdapterKey]int
+	wants  map[sandbarrow.AdapterKey]*want
+	window *loadWindow
 }
 
 func newSlots(e sandbarrow.Evictor) *slots {
@@ -113,6 +120,7 @@
 		slots:    map[sandbarrow.AdapterKey]*slot{},
 		uses:     map[sandbarrow.AdapterKey]int{},
 		wants:    map[sandbarrow.AdapterKey]*want{},
+		window:   newLoadWindow(),
 	}
 }
 
@@ -227,6 +235,17 @@
 	}
 }
 
+// waitingTokens counts the prompts that wait for their adapter.
+func (s *slots) waitingTokens() int {
+	n := 0
+	for _, wanted := range s.wants {
+		for _, w := range wanted.waiters {
+			n += w.use.tokens
+		}
+	}
+	return n
+}
+
 // refuseAll refuses all that wait.
 func (s *slots) refuseAll(reason enginelink.RefuseReason) {
 	for key, wanted := range s.wants {
@@ -262,6 +281,10 @@
 			delete(s.slots, key)
 		}
 	}
+	if len(models) == 0 {
+		s.memory.Forget()
+	}
+	s.memory.Note(maps.Keys(held))
 }
 
 func (s *slots) kept(key sandbarrow.AdapterKey) *slot {
@@ -276,6 +299,9 @@
 	if sl.state != enginelink.SlotLoaded {
 		if sl.state == enginelink.SlotLoading && !sl.ordered.IsZero() {
 			s.loadTook(key, now.Sub(sl.ordered))
+			if !sl.recalled {
+				s.window.took(now.Sub(sl.ordered))
+			}
 		}
 		sl.state, sl.loaded = enginelink.SlotLoaded, now
 		sl.lastUsed = now
@@ -295,6 +321,17 @@
 	return n
 }
 
+// brought counts the adapters on their way from the weight store.
+func (s *slots) brought() int {
+	n := 0
+	for _, sl := range s.slots {
+		if sl.state == enginelink.SlotLoading && !sl.recalled {
+			n++
+		}
+	}
+	return n
+}
+
 // free counts the slots that are free or could be made free at once, less
 // those that waiting requests will take.
 func (s *slots) free() int {
@@ -351,7 +388,7 @@
 
 // bring orders a load into a free slot, or frees one.
 func (s *slots) bring(now time.Time, w *want) (sandbarrow.EngineOrder, bool) {
-	if s.coming() >= maxComing {
+	if s.coming() >= maxComing || !s.memory.Has(w.key) && s.brought() >= s.window.size() {
 		return sandbarrow.EngineOrder{}, false
 	}
 	if len(s.slots) < s.capacity {
@@ -400,7 +437,9 @@
 	case sl != nil:
 		sl.state = enginelink.SlotReplacing
 	default:
-		s.slots[key] = &slot{key: key, lastUsed: now, ordered: now, state: enginelink.SlotLoading, version: o.Version}
+		s.slots[key] = &slot{
+			key: key, lastUsed: now, ordered: now, recalled: s.memory.Has(key), state: enginelink.SlotLoading, version: o.Version,
+		}
 	}
 }
 
--- a/enginelink/messages.go
+++ b/enginelink/messages.go
@@ -54,6 +54,8 @@
 
 // The reasons of a refusal.
 const (
+	// RefuseBusy means that more prompts wait than the gateway reckoned with.
+	RefuseBusy    RefuseReason = "busy"
 	RefuseLeaving RefuseReason = "leaving"
 	// RefuseNoModel means that the engine does not hold the base model.
 	RefuseNoModel RefuseReason = "no-model"
@@ -87,8 +89,11 @@
 	ID       sandbarrow.RequestID   `json:"id"`
 	Instance sandbarrow.InstanceID  `json:"instance"`
 	Model    sandbarrow.BaseModelID `json:"model"`
-	Priority int                    `json:"priority"`
-	Tokens   int                    `json:"tokens"`
+	// MostWaiting is how many prompt tokens may wait at the engine for it to be
+	// the best choice still; 0 takes it in any case.
+	MostWaiting int `json:"most_waiting,omitempty"`
+	Priority    int `json:"priority"`
+	Tokens      int `json:"tokens"`
 	// UsefulMS is how long a grant still lets the answer be in time, in
 	// milliseconds; it may be negative.
 	UsefulMS int64 `json:"useful_ms"`
@@ -102,6 +107,8 @@
 type Grant struct {
 	Refused RefuseReason              `json:"refused,omitempty"`
 	Version sandbarrow.AdapterVersion `json:"version,omitempty"`
+	// Waiting is told with RefuseBusy: the prompt tokens that wait.
+	Waiting int `json:"waiting,omitempty"`
 }
 
 // Use names the use of an adapter by one request.
@@ -164,6 +171,7 @@
 	Silent bool                    `json:"silent,omitempty"`
 	Slots  []SlotStatus            `json:"s,omitempty"`
 	Token  sandbarrow.FencingToken `json:"t"`
-	// WaitingTokens are the prompts granted whose answer has not begun.
+	// WaitingTokens are the prompts whose answer has not begun, those that wait
+	// for their adapter among them.
 	WaitingTokens int `json:"w"`
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -87,6 +87,8 @@
 	last sandbarrow.InstanceID
 	// acquired is the time spent to obtain adapters.
 	acquired time.Duration
+	// failure is an engine's own failure, passed on where no other engine answers.
+	failure *wholeAnswer
 	// committed says that the head of an answer has gone to the caller.
 	committed bool
 	events    int
@@ -325,7 +327,7 @@
 	}
 	if e != nil {
 		attrs = append(attrs, slog.Bool("linked", e.linked), slog.Bool("held", e.held), slog.Int("free", e.status.Free),
-			slog.Int("waiting_tokens", e.status.WaitingTokens), slog.Int64("cost_ms", e.cost.Milliseconds()),
+			slog.Int("waiting_tokens", e.waiting), slog.Int64("cost_ms", e.cost.Milliseconds()),
 			slog.Int64("status_age_ms", e.link.age().Milliseconds()))
 	}
 	c.gateway.logger.LogAttrs(context.Background(), slog.LevelInfo, "attempt", attrs...)
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"math"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,6 +41,9 @@
 	replaceDelay = 900 * time.Millisecond
 	// slotDelay is the time until one slot comes free.
 	slotDelay = 600 * time.Millisecond
+	// spareLeast is how many more prompt tokens may always wait at a chosen engine
+	// than were known of: another choice takes its time too.
+	spareLeast = 1500
 	// rankDelay keeps adapters on the first engines of their ranking.
 	rankDelay = 25 * time.Millisecond
 	// domainDelay prefers the own failure domain.
@@ -59,72 +64,104 @@
 	held     bool
 	instance *sandbarrow.Instance
 	// late says that the answer is expected to miss its objective.
-	late   bool
-	link   *engineLink
-	linked bool
-	rank   uint64
-	// recalled says that the engine's own memory should have the adapter.
-	recalled bool
-	status   enginelink.Status
+	late bool
+	link *engineLink
+	linkView
+	// place is the expected place in the adapter's own ranking of the engines.
+	place float64
+	// spare is how many more prompt tokens may wait here before another engine
+	// is the better choice; 0 where there is no other.
+	spare int
 }
 
+// candidates keeps the lists of choices that are done.
+var candidates = sync.Pool{New: func() any { return new([]candidate) }}
+
 // chooseEngine returns the engine with the least expected delay, or nil.
 func (g *Gateway) chooseEngine(c *call, excluded map[sandbarrow.InstanceID]bool) *candidate {
+	scratch := candidates.Get().(*[]candidate)
+	defer candidates.Put(scratch)
 	now := time.Now()
-	var list []*candidate
-	for _, in := range g.directory.View().Service(c.service.ID) {
-		if in.Leaving || excluded[in.ID] {
+	list := g.eligible(c, now, excluded, (*scratch)[:0])
+	*scratch = list
+	f := survey(c, list)
+	best, second := -1, time.Duration(math.MaxInt64)
+	for i := range list {
+		e := &list[i]
+		if !e.price(g, now, c, &f) {
 			continue
 		}
-		e := &candidate{instance: in, link: g.engines.link(in.Address), rank: xxhash.Sum64String(c.affinity + "\x00" + in.Address)}
-		e.status, e.linked = e.link.look(now)
-		if e.linked && (e.status.Leaving || e.status.Silent) {
-			continue
+		switch {
+		case best < 0:
+			best = i
+		case e.cost < list[best].cost:
+			best, second = i, list[best].cost
+		default:
+			second = min(second, e.cost)
 		}
-		list = append(list, e)
 	}
-	slices.SortFunc(list, func(a, b *candidate) int {
-		if a.rank > b.rank {
-			return -1
-		}
-		return 1
-	})
-	f := g.survey(c, list)
-	var best *candidate
-	for place, e := range list {
-		if !e.price(g, now, c, place, &f) {
+	if best < 0 {
+		return nil
+	}
+	chosen := list[best]
+	if second < math.MaxInt64 {
+		chosen.spare = spareLeast + int((second-chosen.cost)/tokenDelay)
+	}
+	return &chosen
+}
+
+// eligible appends the engines that take new work to list.
+func (g *Gateway) eligible(c *call, now time.Time, excluded map[sandbarrow.InstanceID]bool, list []candidate) []candidate {
+	members := g.engines.members(c.service.ID)
+	affinity := xxhash.Sum64String(c.affinity)
+	for i := range members {
+		m := &members[i]
+		if m.instance.Leaving || excluded[m.instance.ID] {
 			continue
 		}
-		if best == nil || e.cost < best.cost {
-			best = e
+		e := candidate{instance: m.instance, link: m.link, linkView: m.link.view(now, c.key)}
+		if e.linked && (e.status.Leaving || e.status.Silent) {
+			continue
 		}
+		e.place = float64(scatter(affinity^m.hash)) / (1 << 64) * float64(len(members))
+		list = append(list, e)
 	}
-	return best
+	return list
+}
+
+// scatter spreads the bits of a number (the finalizer of SplitMix64), so that
+// numbers that differ little rank differently.
+func scatter(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
 }
 
-// survey is what a choice knows of all candidates together.
-type survey struct {
+// outlook is what a choice knows of all candidates together.
+type outlook struct {
 	// copyDelay is the weight of another copy of the adapter.
 	copyDelay time.Duration
 	// loadDelay is the time of a load with those under way now.
 	loadDelay time.Duration
 }
 
-func (g *Gateway) survey(c *call, list []*candidate) survey {
+// survey notes which candidates hold the adapter and what a load would take.
+func survey(c *call, list []candidate) outlook {
 	had := false
 	coming := 0
-	for _, e := range list {
+	for i := range list {
+		e := &list[i]
 		e.held = e.holds(c)
-		e.recalled = !e.held && e.linked && e.link.remembers(c.key)
+		e.recalled = e.recalled && e.linked && !e.held
 		had = had || e.held || e.recalled
-		for i := range e.status.Slots {
-			if e.linked && e.status.Slots[i].State == enginelink.SlotLoading {
+		for j := range e.status.Slots {
+			if e.linked && e.status.Slots[j].State == enginelink.SlotLoading {
 				coming++
 			}
 		}
 	}
 	crowd := time.Duration(max(freeLoads, coming+1))
-	f := survey{loadDelay: loadDelay * crowd / freeLoads}
+	f := outlook{loadDelay: loadDelay * crowd / freeLoads}
 	if had {
 		f.copyDelay = copyDelay * min(crowd, mostCrowd*freeLoads) / freeLoads
 	}
@@ -134,7 +171,7 @@
 // holds reports whether the engine holds what the request needs, or brings it.
 func (e *candidate) holds(c *call) bool {
 	if !e.linked {
-		return holdsModel(e.instance.Models, c) || e.link.remembers(c.key)
+		return holdsModel(e.instance.Models, c) || e.recalled
 	}
 	if c.key.Adapter == "" {
 		return slices.Contains(e.status.Models, c.key.Model)
@@ -170,7 +207,7 @@
 }
 
 // price computes the cost; false means that the engine can't serve the request.
-func (e *candidate) price(g *Gateway, now time.Time, c *call, place int, f *survey) bool {
+func (e *candidate) price(g *Gateway, now time.Time, c *call, f *outlook) bool {
 	inFlight, penalty := g.health.look(now, e.instance.ID)
 	e.cost = penalty
 	if e.instance.FailureDomain != g.config.Domain {
@@ -185,14 +222,14 @@
 	if !ok {
 		return false
 	}
-	wait += time.Duration(e.link.waitingTokens())*tokenDelay + time.Duration(e.status.Running)*runningDelay
+	wait += time.Duration(e.waiting)*tokenDelay + time.Duration(e.status.Running)*runningDelay
 	e.cost += wait
 	if wait+time.Duration(c.tokens)*tokenDelay+answerDelay > c.untilObjective(now) {
 		e.cost += lateDelay
 		e.late = true
 	}
 	if !e.held || c.key.Adapter == "" {
-		e.cost += time.Duration(place) * rankDelay
+		e.cost += time.Duration(e.place * float64(rankDelay))
 	}
 	if !e.held && !e.recalled {
 		e.cost += f.copyDelay
@@ -202,7 +239,7 @@
 
 // waitForAdapter estimates the time until the engine holds what the request needs; false
 // means that it can't.
-func (e *candidate) waitForAdapter(c *call, f *survey) (time.Duration, bool) {
+func (e *candidate) waitForAdapter(c *call, f *outlook) (time.Duration, bool) {
 	if !slices.Contains(e.status.Models, c.key.Model) {
 		return 0, false
 	}
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -150,6 +150,9 @@
 		w.Header().Set(testNames.Signature, "signed-"+string(r.id))
 		w.WriteHeader(status)
 		fmt.Fprintf(w, "%s %s", q.Method, q.RequestURI)
+	case status >= http.StatusInternalServerError:
+		w.Header().Set(testNames.Signature, "signed-"+string(r.id))
+		w.WriteHeader(status)
 	default:
 		r.stream(w, q, cut)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,12 +39,15 @@
 	DefaultAcceptAfterStop = 2600 * time.Millisecond
 	// startTime is how long after a start upstreams may not be listed yet.
 	startTime = 4 * time.Second
-	// retryPart is the part of the fleet's allowance for repeats that is used.
-	retryPart = 0.5
+	// retrySharePart and retrySlackPart are the parts of the fleet's allowance for
+	// repeats that are used: of the share of requests, and of what may be repeated
+	// beyond it, which a gateway that restarts gets anew.
+	retrySharePart = 0.8
+	retrySlackPart = 0.5
 	// unknownBurst is the burst while the number of gateways is not known.
 	unknownBurst = 2
 	// stopMargin ends a planned stop before the platform does.
-	stopMargin = 300 * time.Millisecond
+	stopMargin = 500 * time.Millisecond
 	// headerTimeout bounds the arrival of a request's head.
 	headerTimeout = 5 * time.Second
 	// idleTimeout bounds the rest of a caller's connection.
@@ -200,7 +203,7 @@
 	defer g.mu.Unlock()
 	b := g.budgets[id]
 	if b == nil {
-		b = retry.NewBudgetOf(g.config.RetryShare*retryPart, most)
+		b = retry.NewBudgetOf(g.config.RetryShare*retrySharePart, most)
 		g.budgets[id] = b
 	}
 	b.SetMost(most)
@@ -213,7 +216,7 @@
 	if n == 0 {
 		return min(unknownBurst, g.config.RetrySlack)
 	}
-	return g.config.RetrySlack * retryPart / float64(n)
+	return g.config.RetrySlack * retrySlackPart / float64(n)
 }
 
 // pool returns the connections to an upstream.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -188,6 +188,35 @@
 	}
 }
 
+// An engine that fails a stream which may be resumed is replaced by another;
+// where none answers, the caller gets an engine's own failure.
+func TestFailingEngine(t *testing.T) {
+	for name, tc := range map[string]struct {
+		resumable, heal bool
+		status, runs    int
+	}{
+		"resumable":          {true, true, http.StatusOK, 2},
+		"resumable, all":     {true, false, http.StatusInternalServerError, 2},
+		"not to be repeated": {false, true, http.StatusInternalServerError, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 2, 0)
+			f.configure(t, streamRoute(tc.resumable))
+			for _, r := range f.runners {
+				r.set(func() { r.status = http.StatusInternalServerError })
+				if tc.heal {
+					go sharedOnce{}.healOther(t.Context(), r, f.runners)
+				}
+			}
+			got := f.send(t.Context(), http.MethodPost, "/s/", adapterHeader)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, tc.status)
+			assert.Assert(t, got.header.Get(testNames.Signature) != "")
+			assert.Equal(t, len(f.runners[0].runs())+len(f.runners[1].runs()), tc.runs)
+		})
+	}
+}
+
 // sharedOnce heals the engine that was not asked first.
 type sharedOnce struct{}
 
@@ -196,7 +225,7 @@
 		if len(r.runs()) > 0 {
 			for _, other := range all {
 				if other != r {
-					other.set(func() { other.cutAfter = -1 })
+					other.set(func() { other.cutAfter, other.status = -1, http.StatusOK })
 				}
 			}
 			return
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -28,6 +28,9 @@
 	firstGap = 3 * time.Second
 	// maxAcquires is at how many engines an adapter is asked for.
 	maxAcquires = 3
+	// maxBusy is how often a choice is made anew because more waits at the engine
+	// than was known of.
+	maxBusy = 2
 	// enginesWait bounds the wait for any engine, lookPause is the pause between looks.
 	enginesWait     = 1200 * time.Millisecond
 	lookPause       = 40 * time.Millisecond
@@ -52,6 +55,8 @@
 	verdictAnswered verdict = iota
 	// verdictBroken means that the request may have run.
 	verdictBroken
+	// verdictFailed means that the engine answered with a failure, which is kept.
+	verdictFailed
 	// verdictNotRun means that the request did not run.
 	verdictNotRun
 	// verdictNotSent means that no byte left.
@@ -60,14 +65,14 @@
 
 // String returns the verdict's name in logs.
 func (v verdict) String() string {
-	return [...]string{"answered", "broken", "not-run", "not-sent"}[v]
+	return [...]string{"answered", "broken", "failed", "not-run", "not-sent"}[v]
 }
 
 // serveEngine serves a request that an engine runs.
 func (c *call) serveEngine(ctx context.Context) {
 	excluded := map[sandbarrow.InstanceID]bool{}
 	why := reasonNoUpstream
-	acquires := 0
+	acquires, busy := 0, 0
 	for ctx.Err() == nil && time.Until(c.ends) > leastSend && acquires < maxAcquires {
 		c.version = c.gateway.estate.View().Version(c.key)
 		e := c.gateway.chooseEngine(c, excluded)
@@ -81,8 +86,16 @@
 			c.refuse(http.StatusServiceUnavailable, reasonOverload)
 			return
 		}
-		excluded[e.instance.ID] = true
+		if busy >= maxBusy {
+			e.spare = 0
+		}
 		grant, ok := c.acquire(ctx, e, acquireWaits[acquires])
+		if grant.Refused == enginelink.RefuseBusy {
+			e.link.learnWaiting(grant.Waiting)
+			busy++
+			continue
+		}
+		excluded[e.instance.ID] = true
 		acquires++
 		if !ok {
 			why = reasonSlots
@@ -113,16 +126,27 @@
 			if c.committed && !c.route.Repeatable() {
 				c.abort(reasonBroken)
 			}
+		case verdictFailed:
+			c.ran++
+			why = reasonBroken
+			if !c.route.Repeatable() {
+				c.pass(c.failure)
+				return
+			}
 		case verdictNotRun:
 			why = reasonRefused
 		case verdictNotSent:
 			why = reasonNoUpstream
 		}
 	}
-	if c.committed {
+	switch {
+	case c.committed:
 		c.abort(why)
+	case c.failure != nil:
+		c.pass(c.failure)
+	default:
+		c.giveUp(ctx, why)
 	}
-	c.giveUp(ctx, why)
 }
 
 // mayComeBack reports whether the caller has hardly waited yet, so that a
@@ -149,11 +173,15 @@
 		return enginelink.Grant{Version: c.version}, true
 	}
 	began := time.Now()
-	defer func() { c.acquired += time.Since(began) }()
+	e.link.await(c.tokens)
+	defer func() {
+		e.link.await(-c.tokens)
+		c.acquired += time.Since(began)
+	}()
 	wait := min(patience, time.Until(c.ends))
 	g, ok := e.link.acquire(ctx, &enginelink.Acquire{
 		Adapter: c.key.Adapter, ID: sandbarrow.RequestID(c.id), Instance: e.instance.ID, Model: c.key.Model,
-		Priority: c.route.Priority, Tokens: c.tokens, Version: c.version, UsefulMS: c.useful().Milliseconds(),
+		MostWaiting: e.mostWaiting(), Priority: c.route.Priority, Tokens: c.tokens, Version: c.version, UsefulMS: c.useful().Milliseconds(),
 		WaitMS: max(1, wait.Milliseconds()),
 	})
 	if !ok {
@@ -162,6 +190,15 @@
 	return g, g.Refused == ""
 }
 
+// mostWaiting is up to how many waiting prompt tokens this engine is the best
+// choice; 0 in any case.
+func (e *candidate) mostWaiting() int {
+	if e.spare == 0 {
+		return 0
+	}
+	return e.waiting + e.spare
+}
+
 // useful is how long a grant still lets the answer be in time.
 func (c *call) useful() time.Duration {
 	return c.untilObjective(time.Now()) - time.Duration(c.tokens)*tokenDelay - answerDelay
@@ -186,7 +223,7 @@
 	go c.watchProgress(ctx, cancel, e, p)
 	c.gateway.health.begin(e.instance.ID)
 	result := c.runEngine(ctx, e, version, p)
-	failed := result == verdictBroken && c.request.Context().Err() == nil || result == verdictNotSent
+	failed := result == verdictBroken && c.request.Context().Err() == nil || result == verdictFailed || result == verdictNotSent
 	c.gateway.health.end(e.instance.ID, failed)
 	return result
 }
@@ -218,8 +255,13 @@
 	if err != nil || c.committed {
 		return verdictBroken
 	}
+	whole := &wholeAnswer{answer: a, body: body}
+	if a.Status >= http.StatusInternalServerError {
+		c.failure = whole
+		return verdictFailed
+	}
 	c.ran++
-	c.pass(&wholeAnswer{answer: a, body: body})
+	c.pass(whole)
 	return verdictAnswered
 }
 
