--- a/gateway/call.go
+++ b/gateway/call.go
@@ -83,6 +83,8 @@
 
 	// sent counts upstreams that got the request, ran those that may have run it.
 	sent, ran int
+	// chosen is the engine that was asked last, as it was believed to be then.
+	chosen *candidate
 	// last is the upstream that got the request last.
 	last sandbarrow.InstanceID
 	// acquired is the time spent to obtain adapters.
@@ -325,11 +327,7 @@
 		slog.String("request", c.id), slog.String("upstream", string(id)), slog.String("result", result), slog.String("cause", cause),
 		slog.Int64("after_ms", time.Since(c.began).Milliseconds()), slog.Int("sent", c.sent), slog.Int("events", c.events),
 	}
-	if e != nil {
-		attrs = append(attrs, slog.Bool("linked", e.linked), slog.Bool("held", e.held), slog.Int("free", e.status.Free),
-			slog.Int("waiting_tokens", e.waiting), slog.Int64("cost_ms", e.cost.Milliseconds()),
-			slog.Int64("status_age_ms", e.link.age().Milliseconds()))
-	}
+	attrs = append(attrs, e.attributes()...)
 	c.gateway.logger.LogAttrs(context.Background(), slog.LevelInfo, "attempt", attrs...)
 }
 
@@ -365,10 +363,22 @@
 		attrs = append(attrs, slog.String("adapter", string(c.key.Adapter)), slog.Uint64("version", uint64(c.version)),
 			slog.Int("tokens", c.tokens), slog.Int64("acquire_ms", c.acquired.Milliseconds()),
 			slog.Int64("first_ms", c.first.Milliseconds()), slog.Int("events", c.events))
+		attrs = append(attrs, c.chosen.attributes()...)
 	}
 	return attrs
 }
 
+// attributes tell what was believed of an engine when it was chosen.
+func (e *candidate) attributes() []slog.Attr {
+	if e == nil {
+		return nil
+	}
+	return []slog.Attr{
+		slog.Bool("linked", e.linked), slog.Bool("held", e.held), slog.Int("free", e.status.Free), slog.Int("running", e.status.Running),
+		slog.Int("waiting_tokens", e.waiting), slog.Int64("cost_ms", e.cost.Milliseconds()), slog.Int64("status_age_ms", e.link.age().Milliseconds()),
+	}
+}
+
 // clip bounds a caller's text in a log line.
 func clip(text string) string {
 	return text[:min(len(text), maxLogged)]
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -82,6 +82,7 @@
 		if e == nil {
 			break
 		}
+		c.chosen = e
 		if acquires == 0 && e.late && e.full && c.mayComeBack() {
 			c.refuse(http.StatusServiceUnavailable, reasonOverload)
 			return
