Spend fewer store calls, bytes and connections; save up retries for a crash

When a quarter of the engines crashed at once, 45 streams ended for want of a retry budget within 2 s while the fleet's allowance was hardly used: a gateway could save up 1.7 repeats.

Change: a controller that two gateways are linked to lets them bring the operators' keys, one fetch for all that tell; a starting gateway hurries only while new upstreams are listed; a status repeats what the engine holds only when that changed; a resting connection counts for 25 ms; a gateway saves up 0.7 of its part of the slack, at least one repeat, and starts with 0.4 of it, so that a restart of all still stays within the allowance.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -25,6 +25,8 @@
 	// watchWait is the longest wait of one watch of the estate. Each call has its
 	// price, and gateways bring what a lost watch would miss.
 	watchWait = 12 * time.Second
+	// coveringLinks is how many linked gateways make an own watch needless.
+	coveringLinks = 2
 )
 
 // Config is what a Controller needs.
@@ -77,10 +79,27 @@
 			Consumer: e, Logger: c.Logger, Prefix: c.Documents.Prefix(), Store: c.Store, Wait: watchWait,
 		},
 	}
+	k.watch.Covered = k.hearsOfEstate
 	k.slots.loadTook = k.loadTook
 	return k
 }
 
+// hearsOfEstate reports whether enough gateways are linked, which watch the
+// operators' state themselves and tell of each change.
+func (c *Controller) hearsOfEstate() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.links) >= coveringLinks && c.estate.View() != nil
+}
+
+// watchLead is how long the own watch may take to bring what a gateway tells of.
+func (c *Controller) watchLead() time.Duration {
+	if c.hearsOfEstate() {
+		return 0
+	}
+	return enginelink.WatchLead
+}
+
 // loadTook notes the time of a load.
 func (c *Controller) loadTook(key sandbarrow.AdapterKey, took time.Duration) {
 	c.metrics.loads.Observe(took.Seconds())
--- a/controller/link.go
+++ b/controller/link.go
@@ -43,7 +43,6 @@
 	close(ready)
 	c.mu.Lock()
 	c.links[l] = true
-	c.published.message = nil // the new link has seen no status
 	c.published.announce()
 	c.mu.Unlock()
 	go enginelink.TellMarks(ctx, l.rpc, c.estate)
@@ -85,7 +84,7 @@
 		if err := wire.Decode(r, &m); err != nil {
 			return nil, err
 		}
-		go enginelink.TakeMark(l.ctx, l.rpc, c.estate, m)
+		go enginelink.TakeMark(l.ctx, l.rpc, c.estate, m, c.watchLead())
 		return nil, nil
 	case enginelink.MethodUsing:
 		var q enginelink.Acquire
@@ -264,20 +263,23 @@
 	}
 }
 
-// tellStatus sends each published status. One that is overtaken while the link
-// is slow is left out.
+// tellStatus sends the status at once, then each published one. One that is
+// overtaken while the link is slow is left out.
 func (l *link) tellStatus(ctx context.Context) {
+	told := uint64(0)
 	for ctx.Err() == nil {
+		l.controller.mu.Lock()
+		message, holds := l.controller.published.message(told)
+		l.controller.mu.Unlock()
+		if message != nil {
+			if err := l.rpc.Notify(ctx, enginelink.MethodStatus, message); err != nil {
+				return
+			}
+			told = holds
+		}
 		select {
 		case <-l.news:
 		case <-ctx.Done():
-			return
-		}
-		l.controller.mu.Lock()
-		message := l.controller.published.message
-		l.controller.mu.Unlock()
-		if err := l.rpc.Notify(ctx, enginelink.MethodStatus, message); err != nil {
-			return
 		}
 	}
 }
--- a/controller/publisher.go
+++ b/controller/publisher.go
@@ -1,9 +1,10 @@
 package controller
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
+	"reflect"
+	"slices"
 	"time"
 
 	"sandbarrow.example/sandbarrow/enginelink"
@@ -18,13 +19,18 @@
 	publishShare = 5 * time.Millisecond
 )
 
-// publisher keeps the status in the form in which all links send it. It is
+// publisher keeps the status in the forms in which all links send it. It is
 // guarded by the controller's mu.
 type publisher struct {
 	at time.Time
+	// brief leaves out what holds is the number of.
+	brief json.RawMessage
 	// changed holds one word that the status may differ from the last.
 	changed chan struct{}
-	message json.RawMessage
+	full    json.RawMessage
+	// holds counts the changes of what the engine holds, from 1.
+	holds uint64
+	last  enginelink.Status
 }
 
 func newPublisher() *publisher {
@@ -42,18 +48,39 @@
 // take takes a status and reports whether the links are to send it: because it
 // differs from the last, or because a heartbeat is due.
 func (p *publisher) take(now time.Time, s enginelink.Status) bool {
-	s.Compact()
-	message, err := json.Marshal(s)
-	if err != nil {
-		return false // a status holds nothing that can't be encoded
-	}
-	if bytes.Equal(message, p.message) && now.Sub(p.at) < enginelink.Heartbeat-publishPause {
+	if p.holds > 0 && now.Sub(p.at) < enginelink.Heartbeat-publishPause && reflect.DeepEqual(s, p.last) {
 		return false
 	}
-	p.at, p.message = now, message
+	if p.holds == 0 || !slices.Equal(s.Slots, p.last.Slots) || !slices.Equal(s.Models, p.last.Models) {
+		p.holds++
+	}
+	p.at, p.last = now, s
+	p.brief = encodeStatus(s.Brief())
+	s.Slots = slices.Clone(s.Slots)
+	s.Compact()
+	p.full = encodeStatus(s)
 	return true
 }
 
+// message returns the status for a link that was last told so many changes of
+// what the engine holds, and the number that it is told by it; nil before the
+// first status.
+func (p *publisher) message(told uint64) (json.RawMessage, uint64) {
+	if told == p.holds {
+		return p.brief, told
+	}
+	return p.full, p.holds
+}
+
+// encodeStatus encodes a status, which holds nothing that can't be encoded.
+func encodeStatus(s enginelink.Status) json.RawMessage {
+	text, err := json.Marshal(s)
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
 // publishEvery is the shortest time between two statuses for so many gateways.
 func publishEvery(gateways int) time.Duration {
 	return max(publishPause, time.Duration(gateways)*publishShare)
--- a/controller/slots.go
+++ b/controller/slots.go
@@ -447,7 +447,7 @@
 func (s *slots) status() []enginelink.SlotStatus {
 	list := make([]enginelink.SlotStatus, 0, len(s.slots))
 	for key, sl := range s.slots {
-		list = append(list, enginelink.SlotStatus{Adapter: key.Adapter, Model: key.Model, State: sl.state, Uses: s.uses[key], Version: sl.version})
+		list = append(list, enginelink.SlotStatus{Adapter: key.Adapter, Model: key.Model, State: sl.state, Version: sl.version})
 	}
 	slices.SortFunc(list, func(a, b enginelink.SlotStatus) int {
 		if a.Adapter < b.Adapter {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -81,7 +81,9 @@
 	at    sandbarrow.StoreRevision
 	heard time.Time
 	// outage is when the store was heard again after an outage.
-	outage  time.Time
+	outage time.Time
+	// newest is when an upstream was listed that was not known.
+	newest  time.Time
 	fading  map[sandbarrow.InstanceID]bool
 	entries map[sandbarrow.InstanceID]listed
 }
@@ -132,6 +134,13 @@
 	return time.Since(d.heard)
 }
 
+// LastNew is when an upstream was listed last that was not known before.
+func (d *Directory) LastNew() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.newest
+}
+
 // Replace takes the whole list.
 func (d *Directory) Replace(items []sandbarrow.KeyItem, at sandbarrow.StoreRevision) {
 	d.mu.Lock()
@@ -193,6 +202,9 @@
 		return
 	}
 	old, known := d.entries[instance.ID]
+	if !known {
+		d.newest = time.Now()
+	}
 	if !known || old.instance.Leaving != instance.Leaving {
 		d.logger.Info("upstream listed", "upstream", string(instance.ID), "address", instance.Address,
 			"service", string(instance.Service), "leaving", instance.Leaving, "revision", uint64(it.Revision))
--- a/enginelink/estatesync.go
+++ b/enginelink/estatesync.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// fetchDelay lets the store's own watch bring what a peer has told of.
-	fetchDelay   = 300 * time.Millisecond
+	// WatchLead is how long the store's own watch may take to bring what a peer
+	// has told of.
+	WatchLead    = 300 * time.Millisecond
 	fetchTimeout = 2 * time.Second
 )
 
@@ -33,19 +34,21 @@
 }
 
 // TakeMark fetches what a peer has and this side lacks, unless the store
-// brings it meanwhile.
-func TakeMark(ctx context.Context, rpc *jsonrpc2.Conn, e *estate.Estate, m Mark) {
+// brings it within lead.
+func TakeMark(ctx context.Context, rpc *jsonrpc2.Conn, e *estate.Estate, m Mark, lead time.Duration) {
 	mine, _ := e.Mark()
 	if mine >= m.Revision {
 		return
 	}
-	if mine > 0 {
+	if mine > 0 && lead > 0 {
 		select {
-		case <-time.After(fetchDelay):
+		case <-time.After(lead):
 		case <-ctx.Done():
 			return
 		}
 	}
+	e.Fetching.Lock()
+	defer e.Fetching.Unlock()
 	if mine, _ = e.Mark(); mine >= m.Revision {
 		return
 	}
--- a/enginelink/messages.go
+++ b/enginelink/messages.go
@@ -122,7 +122,6 @@
 	Adapter sandbarrow.AdapterID      `json:"a"`
 	Model   sandbarrow.BaseModelID    `json:"m,omitempty"`
 	State   SlotState                 `json:"s,omitempty"`
-	Uses    int                       `json:"u,omitempty"`
 	Version sandbarrow.AdapterVersion `json:"v"`
 }
 
@@ -144,8 +143,18 @@
 	}
 }
 
-// Expand undoes Compact.
-func (s *Status) Expand() {
+// Brief is the status without what a reader has from the last one.
+func (s Status) Brief() Status {
+	s.Models, s.Slots, s.Same = nil, nil, true
+	return s
+}
+
+// Expand undoes Compact, and Brief with the help of the last status.
+func (s *Status) Expand(last *Status) {
+	if s.Same {
+		s.Models, s.Slots, s.Same = last.Models, last.Slots, false
+		return
+	}
 	for i := range s.Slots {
 		if len(s.Models) > 0 && s.Slots[i].Model == "" {
 			s.Slots[i].Model = s.Models[0]
@@ -167,6 +176,9 @@
 	Models   []sandbarrow.BaseModelID `json:"m,omitempty"`
 	// Running counts granted uses.
 	Running int `json:"r"`
+	// Same says that Models and Slots are those of the last status on this link,
+	// and left out.
+	Same bool `json:"k,omitempty"`
 	// Silent says that the engine does not answer.
 	Silent bool                    `json:"silent,omitempty"`
 	Slots  []SlotStatus            `json:"s,omitempty"`
--- a/estate/estate.go
+++ b/estate/estate.go
@@ -47,6 +47,10 @@
 	logger    *slog.Logger
 	view      atomic.Pointer[View]
 
+	// Fetching is held while changes are fetched from a peer, so that a change
+	// which many peers tell of is fetched from one.
+	Fetching sync.Mutex
+
 	mu      sync.Mutex
 	changed chan struct{}
 	items   map[string]sandbarrow.KeyItem
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -67,6 +67,14 @@
 	p.idle = nil
 }
 
+// Resting reports whether a connection rests that may serve the next request.
+func (p *Pool) Resting(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	return n > 0 && now.Before(p.idle[n-1].expires)
+}
+
 // get returns the connection that was used last and is still good, or a new one.
 func (p *Pool) get(ctx context.Context) (*conn, error) {
 	for {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -46,6 +46,8 @@
 	spareLeast = 1500
 	// rankDelay keeps adapters on the first engines of their ranking.
 	rankDelay = 25 * time.Millisecond
+	// connectDelay weighs the price of a new connection.
+	connectDelay = 25 * time.Millisecond
 	// domainDelay prefers the own failure domain.
 	domainDelay = 4 * time.Millisecond
 	// blindDelay is the doubt about an engine without its controller.
@@ -58,7 +60,9 @@
 
 // candidate is an engine that may serve a request.
 type candidate struct {
-	cost time.Duration
+	// connected says that a connection rests that can serve the request.
+	connected bool
+	cost      time.Duration
 	// full says that the adapter would wait for a slot to come free.
 	full     bool
 	held     bool
@@ -123,6 +127,7 @@
 		if e.linked && (e.status.Leaving || e.status.Silent) {
 			continue
 		}
+		e.connected = m.pool.Resting(now)
 		e.place = float64(scatter(affinity^m.hash)) / (1 << 64) * float64(len(members))
 		list = append(list, e)
 	}
@@ -213,6 +218,9 @@
 	if e.instance.FailureDomain != g.config.Domain {
 		e.cost += domainDelay
 	}
+	if !e.connected {
+		e.cost += connectDelay
+	}
 	if !e.linked {
 		// Without its controller nothing can be loaded.
 		e.cost += blindDelay + time.Duration(inFlight)*3*runningDelay
@@ -255,7 +263,7 @@
 	}
 	var wait time.Duration
 	switch {
-	case slot != nil && slot.Uses > 0:
+	case slot != nil && e.status.Running > 0:
 		wait = replaceDelay
 	case slot == nil && e.status.Free <= 0:
 		wait = time.Duration(1-e.status.Free) * slotDelay
--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -11,6 +11,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/directory"
+	"sandbarrow.example/sandbarrow/forward"
 	"sandbarrow.example/sandbarrow/internal/pause"
 )
 
@@ -46,6 +47,7 @@
 	instance *sandbarrow.Instance
 	// link is nil until the engine's controller is dialled.
 	link *engineLink
+	pool *forward.Pool
 }
 
 func newEngines(g *Gateway) *engines {
@@ -82,7 +84,7 @@
 func (e *engines) newRoster(list *directory.View) *roster {
 	f := &roster{byService: map[sandbarrow.ServiceID][]member{}, list: list}
 	for _, in := range list.All() {
-		m := member{hash: xxhash.Sum64String(in.Address), instance: in, link: e.link(in.Address)}
+		m := member{hash: xxhash.Sum64String(in.Address), instance: in, link: e.link(in.Address), pool: e.gateway.pool(in)}
 		f.byService[in.Service] = append(f.byService[in.Service], m)
 	}
 	return f
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,13 +37,18 @@
 	// DefaultAcceptAfterStop is how long a stopping gateway takes new
 	// connections, until the balancer has surely seen that it is not ready.
 	DefaultAcceptAfterStop = 2600 * time.Millisecond
-	// startTime is how long after a start upstreams may not be listed yet.
+	// startTime is how long after a start upstreams may not be listed yet, and
+	// newsTime how long after a new one others are likely to follow.
 	startTime = 4 * time.Second
+	newsTime  = 700 * time.Millisecond
 	// retrySharePart and retrySlackPart are the parts of the fleet's allowance for
 	// repeats that are used: of the share of requests, and of what may be repeated
-	// beyond it, which a gateway that restarts gets anew.
+	// beyond it.
 	retrySharePart = 0.8
-	retrySlackPart = 0.5
+	retrySlackPart = 0.7
+	// retryStartPart is the part of what may be saved up that a gateway starts
+	// with: many may restart at once, and those before them have spent theirs.
+	retryStartPart = 0.4
 	// unknownBurst is the burst while the number of gateways is not known.
 	unknownBurst = 2
 	// stopMargin ends a planned stop before the platform does.
@@ -150,9 +155,10 @@
 }
 
 // awaitsUpstreams reports whether the list of upstreams is likely incomplete:
-// right after a start, or while a service has none.
+// after a start while new ones are listed one after the other, or while a
+// service has none.
 func (g *Gateway) awaitsUpstreams() bool {
-	if time.Since(g.started) < startTime {
+	if time.Since(g.started) < startTime && time.Since(g.directory.LastNew()) < newsTime {
 		return true
 	}
 	view := g.estate.View()
@@ -203,7 +209,7 @@
 	defer g.mu.Unlock()
 	b := g.budgets[id]
 	if b == nil {
-		b = retry.NewBudgetOf(g.config.RetryShare*retrySharePart, most)
+		b = retry.NewBudgetOf(g.config.RetryShare*retrySharePart, max(1, most*retryStartPart))
 		g.budgets[id] = b
 	}
 	b.SetMost(most)
@@ -216,7 +222,7 @@
 	if n == 0 {
 		return min(unknownBurst, g.config.RetrySlack)
 	}
-	return g.config.RetrySlack * retrySlackPart / float64(n)
+	return max(1, g.config.RetrySlack*retrySlackPart/float64(n))
 }
 
 // pool returns the connections to an upstream.
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -108,8 +108,8 @@
 		if err := wire.Decode(r, &s); err != nil {
 			return nil, err
 		}
-		s.Expand()
 		l.mu.Lock()
+		s.Expand(&l.status)
 		l.take(s)
 		l.mu.Unlock()
 		return nil, nil
@@ -122,7 +122,7 @@
 		rpc := l.rpc
 		l.mu.Unlock()
 		if rpc != nil {
-			go enginelink.TakeMark(ctx, rpc, l.gateway.estate, m)
+			go enginelink.TakeMark(ctx, rpc, l.gateway.estate, m, enginelink.WatchLead)
 		}
 		return nil, nil
 	case enginelink.MethodFetch:
--- a/prefixwatch/prefixwatch.go
+++ b/prefixwatch/prefixwatch.go
@@ -22,6 +22,8 @@
 	readTimeout = 900 * time.Millisecond
 	// hurriedPace is the shortest time between two watches while Hurry says so.
 	hurriedPace = 150 * time.Millisecond
+	// coveredPause is the pause between looks whether a watch is still covered.
+	coveredPause = 500 * time.Millisecond
 	// firstPause and longestPause bound the pause after a failure, which doubles.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 800 * time.Millisecond
@@ -38,6 +40,9 @@
 // Watch follows one prefix.
 type Watch struct {
 	Consumer Consumer
+	// Covered says that others bring what changes, so that no call is made; nil
+	// never does.
+	Covered func() bool
 	// Hurry says that changes are awaited, so that the pace does not hold; nil never does.
 	Hurry  func() bool
 	Logger *slog.Logger
@@ -56,6 +61,11 @@
 	known, up := false, true
 	backoff := firstPause
 	for ctx.Err() == nil {
+		if w.Covered != nil && w.Covered() {
+			known = false // the history may be forgotten meanwhile
+			pause.For(ctx, coveredPause)
+			continue
+		}
 		began := time.Now()
 		next, err := w.step(ctx, at, known)
 		switch {
--- a/prefixwatch/prefixwatch_test.go
+++ b/prefixwatch/prefixwatch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -187,3 +188,22 @@
 	put(t, f, "p/a", "1")
 	eventually(t, func() bool { return v.get("p/a") == "1" })
 }
+
+// While others bring what changes, no call is made; afterwards all is read anew.
+func TestCovered(t *testing.T) {
+	f := &faulty{Memory: store.NewMemory()}
+	put(t, f, "p/a", "1")
+	v := &view{}
+	var covered atomic.Bool
+	covered.Store(true)
+	w := Watch{Consumer: v, Covered: covered.Load, Logger: slog.New(slog.DiscardHandler), Prefix: "p/", Store: f, Wait: 50 * time.Millisecond}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = w.Run(ctx) }()
+	time.Sleep(100 * time.Millisecond)
+	f.mu.Lock()
+	assert.Equal(t, f.calls, 0)
+	f.mu.Unlock()
+	covered.Store(false)
+	eventually(t, func() bool { return v.get("p/a") == "1" })
+}
