--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,7 +44,7 @@
 	// retrySharePart and retrySlackPart are the parts of the fleet's allowance for
 	// repeats that are used: of the share of requests, and of what may be repeated
 	// beyond it.
-	retrySharePart = 0.8
+	retrySharePart = 0.95
 	retrySlackPart = 0.7
 	// retryStartPart is the part of what may be saved up that a gateway starts
 	// with: many may restart at once, and those before them have spent theirs.
