Weigh a copy of an adapter by the requests that share it

Cause: in the recovery engines with a popular adapter read prompts for over 0.9 s, while the weight of another copy was doubled by the crowd of loads: the most popular adapter, 42 requests a second, had nine copies after eight seconds.

Change: the weight of a copy falls with the requests lately for each copy there is, as far as a gateway can tell from its own.

--- a/controller/slots.go
+++ b/controller/slots.go
@@ -24,9 +24,6 @@
 	rememberedAdapters = 512
 	// priorityStep is how much less each lower priority counts in the queue.
 	priorityStep = 0.4
-	// singlePatience is how long an adapter that one request waits for gives way
-	// in a crowd at the weight store.
-	singlePatience = 300 * time.Millisecond
 	// lateWorth is the share that a late answer counts.
 	lateWorth = 0.3
 )
@@ -391,7 +388,7 @@
 
 // bring orders a load into a free slot, or frees one.
 func (s *slots) bring(now time.Time, w *want) (sandbarrow.EngineOrder, bool) {
-	if s.coming() >= maxComing || !s.memory.Has(w.key) && !s.mayFetch(now, w) {
+	if s.coming() >= maxComing || !s.memory.Has(w.key) && s.brought() >= s.window.size() {
 		return sandbarrow.EngineOrder{}, false
 	}
 	if len(s.slots) < s.capacity {
@@ -417,16 +414,6 @@
 	return sandbarrow.EngineOrder{Adapter: keys[victim].Adapter, Model: keys[victim].Model}, true
 }
 
-// mayFetch reports whether the weight store may be asked for an adapter. In a
-// crowd an adapter that a single request waits for gives way for a moment to
-// those of all engines that serve many.
-func (s *slots) mayFetch(now time.Time, w *want) bool {
-	if s.brought() >= s.window.size() {
-		return false
-	}
-	return len(w.waiters) > 1 || !s.window.crowded() || now.Sub(w.since) >= singlePatience
-}
-
 // rate is the decayed demand of an adapter in requests per second.
 func (s *slots) rate(now time.Time, key sandbarrow.AdapterKey) float64 {
 	d := s.demands[key]
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -87,6 +87,9 @@
 	chosen *candidate
 	// last is the upstream that got the request last.
 	last sandbarrow.InstanceID
+	// demand is how many requests for the adapter there were lately, at all
+	// gateways as far as this one can tell.
+	demand float64
 	// acquired is the time spent to obtain adapters.
 	acquired time.Duration
 	// failure is an engine's own failure, passed on where no other engine answers.
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -31,6 +31,9 @@
 	// copyDelay weighs the price of another copy of an adapter that another
 	// engine has.
 	copyDelay = 500 * time.Millisecond
+	// copyUses is how many requests lately for each copy of an adapter make another
+	// copy worth its price: beyond, its weight falls.
+	copyUses = 4
 	// lateDelay weighs an answer that is expected to miss its objective.
 	lateDelay = 900 * time.Millisecond
 	// lateShare is the share of the objective that an expected answer may take.
@@ -152,13 +155,15 @@
 
 // survey notes which candidates hold the adapter and what a load would take.
 func survey(c *call, list []candidate) outlook {
-	had := false
+	copies := 0
 	coming := 0
 	for i := range list {
 		e := &list[i]
 		e.held = e.holds(c)
 		e.recalled = e.recalled && e.linked && !e.held
-		had = had || e.held || e.recalled
+		if e.held || e.recalled {
+			copies++
+		}
 		for j := range e.status.Slots {
 			if e.linked && e.status.Slots[j].State == enginelink.SlotLoading {
 				coming++
@@ -167,8 +172,9 @@
 	}
 	crowd := time.Duration(max(freeLoads, coming+1))
 	f := outlook{loadDelay: loadDelay * crowd / freeLoads}
-	if had {
+	if copies > 0 {
 		f.copyDelay = copyDelay * min(crowd, mostCrowd*freeLoads) / freeLoads
+		f.copyDelay = time.Duration(float64(f.copyDelay) / max(1, c.demand/float64(copies)/copyUses))
 	}
 	return f
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -88,6 +88,7 @@
 // Gateway serves callers.
 type Gateway struct {
 	config    Config
+	demand    *demand
 	directory *directory.Directory
 	engines   *engines
 	estate    *estate.Estate
@@ -107,6 +108,7 @@
 	g := &Gateway{
 		budgets:   map[sandbarrow.ServiceID]*retry.Budget{},
 		config:    c,
+		demand:    newDemand(),
 		directory: directory.New(c.Instances, c.Logger),
 		estate:    estate.New(c.Documents, c.Logger),
 		health:    newHealth(),
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -73,6 +73,8 @@
 	excluded := map[sandbarrow.InstanceID]bool{}
 	why := reasonNoUpstream
 	acquires, busy := 0, 0
+	others := c.gateway.demand.note(c.began, c.key) - 1
+	c.demand = 1 + others*float64(max(1, c.gateway.engines.gateways()))
 	for ctx.Err() == nil && time.Until(c.ends) > leastSend && acquires < maxAcquires {
 		c.version = c.gateway.estate.View().Version(c.key)
 		e := c.gateway.chooseEngine(c, excluded)
