Order prompts at an engine by what they lose from waiting

Change: within the priority of a route, which comes first as before, requests with little time left go before those with time to spare, and late ones last.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -259,7 +259,7 @@
 	h.Set(names.Deadline, strconv.FormatInt(max(1, time.Until(c.callerEnds).Milliseconds()), 10))
 	h.Set(names.ExpectInstance, string(in.ID))
 	if c.service.Engine != nil {
-		h.Set(names.Priority, strconv.Itoa(min(9, max(0, c.route.Priority))))
+		h.Set(names.Priority, strconv.Itoa(c.enginePriority()))
 	}
 	if version > 0 {
 		h.Set(names.ExpectVersion, strconv.FormatUint(uint64(version), 10))
--- /dev/null
+++ b/gateway/priority_test.go
@@ -0,0 +1,34 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sandbarrow.example/sandbarrow/route"
+)
+
+func TestEnginePriority(t *testing.T) {
+	for name, tc := range map[string]struct {
+		priority, tokens int
+		waited           time.Duration
+		begun            bool
+		want             int
+	}{
+		"time to spare":               {0, 500, 0, false, 1},
+		"a long prompt":               {0, 6000, 0, false, 0},
+		"has waited":                  {0, 500, 500 * time.Millisecond, false, 0},
+		"late":                        {0, 500, 2 * time.Second, false, 2},
+		"late, but its caller reads":  {0, 500, 2 * time.Second, true, 0},
+		"less urgent route":           {1, 500, 0, false, 4},
+		"late in the last of routes":  {7, 500, 2 * time.Second, false, 9},
+		"an urgent route's late ones": {1, 6000, 2 * time.Second, false, 5},
+	} {
+		c := call{
+			began: time.Now().Add(-tc.waited), committed: tc.begun, tokens: tc.tokens,
+			route: &route.Route{Objective: time.Second, Priority: tc.priority},
+		}
+		assert.Equal(t, c.enginePriority(), tc.want, name)
+	}
+}
