Share the watch of the list of upstreams among gateways

Change: a gateway tells the others what it has read, without heartbeats, through one of the controllers that all are linked to; one that was told within the pace does not read. What does not follow from what is known is passed over.

--- a/controller/link.go
+++ b/controller/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"time"
 
@@ -12,6 +13,9 @@
 	"sandbarrow.example/sandbarrow/wire"
 )
 
+// relayedMost is how many messages of other gateways wait for a slow link.
+const relayedMost = 4
+
 // link is the connection of one gateway.
 type link struct {
 	// closed says that the uses of the link were released; guarded by the
@@ -20,7 +24,9 @@
 	controller *Controller
 	ctx        context.Context
 	news       chan struct{}
-	rpc        *jsonrpc2.Conn
+	// relayed holds what other gateways tell this one.
+	relayed chan json.RawMessage
+	rpc     *jsonrpc2.Conn
 	// uses is guarded by the controller's mu.
 	uses map[sandbarrow.RequestID]*use
 }
@@ -33,7 +39,7 @@
 func (c *Controller) serveLink(ctx context.Context, conn net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	l := &link{controller: c, ctx: ctx, news: make(chan struct{}, 1), uses: map[sandbarrow.RequestID]*use{}}
+	l := &link{controller: c, ctx: ctx, news: make(chan struct{}, 1), relayed: make(chan json.RawMessage, relayedMost), uses: map[sandbarrow.RequestID]*use{}}
 	// The handler waits for l.rpc, which NewConn returns after it has begun to read.
 	ready := make(chan struct{})
 	l.rpc = jsonrpc2.NewConn(ctx, wire.NewStream(conn), wire.Handler(func(ctx context.Context, r *jsonrpc2.Request) (any, error) {
@@ -79,6 +85,11 @@
 			c.takeToken(h.Token, string(h.Box))
 		}
 		return nil, nil
+	case enginelink.MethodListed:
+		if r.Params != nil {
+			c.relay(l, *r.Params)
+		}
+		return nil, nil
 	case enginelink.MethodMark:
 		var m enginelink.Mark
 		if err := wire.Decode(r, &m); err != nil {
@@ -277,9 +288,41 @@
 			}
 			told = holds
 		}
+		if !l.awaitNews(ctx) {
+			return
+		}
+	}
+}
+
+// awaitNews passes on what other gateways tell until there is a status to send.
+// It returns false when the link has ended.
+func (l *link) awaitNews(ctx context.Context) bool {
+	for {
 		select {
 		case <-l.news:
+			return true
+		case m := <-l.relayed:
+			if err := l.rpc.Notify(ctx, enginelink.MethodListed, m); err != nil {
+				return false
+			}
 		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// relay passes a gateway's message on to all others. One whose link is slow
+// misses it, and asks the store itself.
+func (c *Controller) relay(from *link, m json.RawMessage) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for l := range c.links {
+		if l == from {
+			continue
+		}
+		select {
+		case l.relayed <- m:
+		default:
 		}
 	}
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -161,19 +161,58 @@
 	d.publish()
 }
 
+// Change is a part of the list's history, as gateways tell each other.
+type Change struct {
+	// Items are the entries that changed more than their heartbeat.
+	Items []sandbarrow.KeyItem `json:"items,omitempty"`
+	// Since and Mark are the revisions between which Items are complete.
+	Since sandbarrow.StoreRevision `json:"since"`
+	Mark  sandbarrow.StoreRevision `json:"mark"`
+}
+
 // Update takes changes of the list.
 func (d *Directory) Update(items []sandbarrow.KeyItem, at sandbarrow.StoreRevision) {
+	d.Advance(items, at)
+}
+
+// Advance takes changes of the list and returns what others need to know of them.
+func (d *Directory) Advance(items []sandbarrow.KeyItem, at sandbarrow.StoreRevision) Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.advance(items, at)
+}
+
+// Learn takes a change that another gateway read. It is passed over where it
+// does not follow what is known.
+func (d *Directory) Learn(c Change) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.at == 0 || c.Since > d.at || c.Mark <= d.at {
+		return
+	}
+	news := slices.DeleteFunc(slices.Clone(c.Items), func(it sandbarrow.KeyItem) bool { return it.Revision <= d.at })
+	d.advance(news, c.Mark)
+}
+
+// Mark is the revision up to which the list is complete.
+func (d *Directory) Mark() sandbarrow.StoreRevision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.at
+}
+
+// advance takes changes. The caller holds mu.
+func (d *Directory) advance(items []sandbarrow.KeyItem, at sandbarrow.StoreRevision) Change {
+	change := Change{Since: d.at, Mark: at}
 	d.confirm(at)
 	if len(items) == 0 {
-		return
+		return change
 	}
 	last := map[sandbarrow.InstanceID]bool{}
 	for _, it := range items {
 		last[d.list.InstanceID(it.Key)] = it.Gone
-		if !it.Gone {
-			d.put(it)
+		if it.Gone || d.put(it) {
+			change.Items = append(change.Items, it)
 		}
 	}
 	var gone []sandbarrow.InstanceID
@@ -184,6 +223,7 @@
 	}
 	d.drop(gone)
 	d.publish()
+	return change
 }
 
 // confirm notes that the view stands for a revision now. The caller holds mu.
@@ -195,11 +235,13 @@
 	d.at, d.heard = max(d.at, at), now
 }
 
-func (d *Directory) put(it sandbarrow.KeyItem) {
+// put takes an entry and reports whether it tells more than a heartbeat. The
+// caller holds mu.
+func (d *Directory) put(it sandbarrow.KeyItem) bool {
 	instance, err := d.list.Instance(it)
 	if err != nil {
 		d.logger.Warn("upstream entry refused, the last one stays", "key", it.Key, "error", err.Error())
-		return
+		return false
 	}
 	old, known := d.entries[instance.ID]
 	if !known {
@@ -209,8 +251,16 @@
 		d.logger.Info("upstream listed", "upstream", string(instance.ID), "address", instance.Address,
 			"service", string(instance.Service), "leaving", instance.Leaving, "revision", uint64(it.Revision))
 	}
+	returned := d.fading[instance.ID]
 	delete(d.fading, instance.ID)
 	d.entries[instance.ID] = listed{instance: instance, item: it}
+	return !known || returned || !sameBeside(&old.instance, &instance)
+}
+
+// sameBeside reports whether two entries tell the same beside the adapters held.
+func sameBeside(a, b *sandbarrow.Instance) bool {
+	return a.Address == b.Address && a.FailureDomain == b.FailureDomain && a.Leaving == b.Leaving &&
+		a.Service == b.Service && a.Slots == b.Slots
 }
 
 // drop removes upstreams that left the list, at once or after a grace where so
--- /dev/null
+++ b/directory/learn_test.go
@@ -0,0 +1,58 @@
+package directory
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"sandbarrow.example/sandbarrow"
+)
+
+func TestLearn(t *testing.T) {
+	for name, tc := range map[string]struct {
+		change Change
+		want   string
+		mark   sandbarrow.StoreRevision
+	}{
+		"what follows": {
+			Change{Items: []sandbarrow.KeyItem{item("a", 6, "s 1 leaving"), gone("b", 7)}, Since: 5, Mark: 8}, "a! c d", 8,
+		},
+		"nothing but that it is complete": {Change{Since: 4, Mark: 9}, "a b c d", 9},
+		"a gap in between":                {Change{Items: []sandbarrow.KeyItem{gone("a", 7)}, Since: 6, Mark: 8}, "a b c d", 5},
+		"older than what is known":        {Change{Items: []sandbarrow.KeyItem{gone("a", 3)}, Since: 2, Mark: 4}, "a b c d", 5},
+		"older in part": {
+			Change{Items: []sandbarrow.KeyItem{gone("a", 3), gone("b", 6)}, Since: 2, Mark: 6}, "a c d", 6,
+		},
+	} {
+		d := newDirectory()
+		d.Learn(tc.change)
+		assert.Equal(t, ids(d, "s"), tc.want, name)
+		assert.Equal(t, d.Mark(), tc.mark, name)
+	}
+}
+
+// What is told to others leaves heartbeats out.
+func TestAdvanceTellsWhatChanged(t *testing.T) {
+	d := newDirectory()
+	change := d.Advance([]sandbarrow.KeyItem{
+		item("a", 6, "s 1"), item("b", 7, "s 2 leaving"), item("f", 8, "s 6"), gone("c", 9),
+	}, 10)
+	assert.Equal(t, change.Since, sandbarrow.StoreRevision(5))
+	assert.Equal(t, change.Mark, sandbarrow.StoreRevision(10))
+	var keys []string
+	for _, it := range change.Items {
+		keys = append(keys, it.Key)
+	}
+	assert.DeepEqual(t, keys, []string{"b", "f", "c"})
+	other := newDirectory()
+	other.Learn(change)
+	assert.Equal(t, ids(other, "s"), ids(d, "s"))
+}
+
+// A directory that knows nothing yet can't follow a change.
+func TestLearnNeedsAStart(t *testing.T) {
+	d := New(list{}, nil)
+	d.Learn(Change{Since: 0, Mark: 3})
+	assert.Equal(t, d.Mark(), sandbarrow.StoreRevision(0))
+	assert.Assert(t, d.View() == nil)
+}
--- a/enginelink/messages.go
+++ b/enginelink/messages.go
@@ -20,6 +20,9 @@
 	MethodFetch = "estate.fetch"
 	// MethodHello opens a link.
 	MethodHello = "link.hello"
+	// MethodListed tells of the list of upstreams what one gateway has read; the
+	// controller passes it on to the others.
+	MethodListed = "directory.change"
 	// MethodMark tells up to which revision the estate is complete.
 	MethodMark = "estate.mark"
 	// MethodStatus tells gateways of an engine.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,11 +29,6 @@
 const (
 	// estateWait is the longest wait of one watch of the estate.
 	estateWait = 3 * time.Second
-	// listWait bounds the watch of the list of upstreams, whose heartbeats change
-	// it all the time; listShare is the part of the bound for leaving upstreams
-	// that may pass between two watches.
-	listWait  = 3 * time.Second
-	listShare = 0.55
 	// DefaultAcceptAfterStop is how long a stopping gateway takes new
 	// connections, until the balancer has surely seen that it is not ready.
 	DefaultAcceptAfterStop = 2600 * time.Millisecond
@@ -138,11 +133,8 @@
 	estateWatch := prefixwatch.Watch{
 		Consumer: g.estate, Logger: g.logger, Prefix: g.config.Documents.Prefix(), Store: g.config.Store, Wait: estateWait,
 	}
-	listWatch := prefixwatch.Watch{
-		Consumer: g.directory, Logger: g.logger, Hurry: g.awaitsUpstreams, Pace: time.Duration(listShare * float64(g.config.LeaveBound)), Prefix: g.config.Instances.Prefix(), Store: g.config.Store, Wait: listWait,
-	}
 	group.Go(func() error { return estateWatch.Run(work) })
-	group.Go(func() error { return listWatch.Run(work) })
+	group.Go(func() error { return g.listWatch().Run(work) })
 	group.Go(func() error { return g.engines.run(work) })
 	group.Go(func() error { return g.learnFromPeers(work) })
 	group.Go(func() error {
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/directory"
 	"sandbarrow.example/sandbarrow/enginelink"
 	"sandbarrow.example/sandbarrow/forward"
 	"sandbarrow.example/sandbarrow/internal/pause"
@@ -113,22 +114,25 @@
 		l.take(s)
 		l.mu.Unlock()
 		return nil, nil
+	case enginelink.MethodListed:
+		var change directory.Change
+		if err := wire.Decode(r, &change); err != nil {
+			return nil, err
+		}
+		l.gateway.directory.Learn(change)
+		return nil, nil
 	case enginelink.MethodMark:
 		var m enginelink.Mark
 		if err := wire.Decode(r, &m); err != nil {
 			return nil, err
 		}
-		l.mu.Lock()
-		rpc := l.rpc
-		l.mu.Unlock()
+		rpc := l.connection()
 		if rpc != nil {
 			go enginelink.TakeMark(ctx, rpc, l.gateway.estate, m, enginelink.WatchLead)
 		}
 		return nil, nil
 	case enginelink.MethodFetch:
-		l.mu.Lock()
-		rpc := l.rpc
-		l.mu.Unlock()
+		rpc := l.connection()
 		return enginelink.ServeFetch(rpc, r, l.gateway.estate)
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
@@ -224,6 +228,13 @@
 	return !l.heard.IsZero()
 }
 
+// connection returns the connection to the controller, or nil.
+func (l *engineLink) connection() *jsonrpc2.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rpc
+}
+
 // up reports whether the controller was heard of lately.
 func (l *engineLink) up(now time.Time) bool {
 	l.mu.Lock()
@@ -244,9 +255,7 @@
 // acquire asks for the use of an adapter. ok is false when the controller did
 // not answer in time.
 func (l *engineLink) acquire(ctx context.Context, q *enginelink.Acquire) (g enginelink.Grant, ok bool) {
-	l.mu.Lock()
-	rpc := l.rpc
-	l.mu.Unlock()
+	rpc := l.connection()
 	if rpc == nil {
 		return g, false
 	}
--- a/prefixwatch/prefixwatch.go
+++ b/prefixwatch/prefixwatch.go
@@ -22,6 +22,8 @@
 	readTimeout = 900 * time.Millisecond
 	// hurriedPace is the shortest time between two watches while Hurry says so.
 	hurriedPace = 150 * time.Millisecond
+	// paceSpread is the part of the pace by which it may be shortened.
+	paceSpread = 3
 	// coveredPause is the pause between looks whether a watch is still covered.
 	coveredPause = 500 * time.Millisecond
 	// firstPause and longestPause bound the pause after a failure, which doubles.
@@ -39,6 +41,9 @@
 
 // Watch follows one prefix.
 type Watch struct {
+	// Age is how long ago the consumer was last told up to where it is complete,
+	// by this watch or by others that share theirs; nil counts this watch alone.
+	Age      func() time.Duration
 	Consumer Consumer
 	// Covered says that others bring what changes, so that no call is made; nil
 	// never does.
@@ -46,6 +51,8 @@
 	// Hurry says that changes are awaited, so that the pace does not hold; nil never does.
 	Hurry  func() bool
 	Logger *slog.Logger
+	// Mark is up to where the consumer is complete, where others tell it too.
+	Mark func() sandbarrow.StoreRevision
 	// Pace is the shortest time between two watches, so that a busy prefix
 	// costs few calls; changes in between arrive together.
 	Pace   time.Duration
@@ -74,7 +81,7 @@
 				w.Logger.Info("store regained", "prefix", w.Prefix, "revision", uint64(next))
 			}
 			at, known, up, backoff = next, true, true, firstPause
-			pause.For(ctx, w.pace()-time.Since(began))
+			w.rest(ctx, began)
 		case ctx.Err() != nil:
 		default:
 			if errors.Is(err, sandbarrow.ErrStoreCompacted) {
@@ -86,11 +93,38 @@
 			up = false
 			pause.For(ctx, backoff/2+rand.N(backoff))
 			backoff = min(2*backoff, longestPause)
+			w.restWhileToldOf(ctx)
+		}
+		if known && w.Mark != nil {
+			at = max(at, w.Mark())
 		}
 	}
 	return nil
 }
 
+// rest waits until the next watch is due.
+func (w *Watch) rest(ctx context.Context, began time.Time) {
+	if w.Age == nil {
+		pause.For(ctx, w.pace()-time.Since(began))
+		return
+	}
+	w.restWhileToldOf(ctx)
+}
+
+// restWhileToldOf waits while the consumer was told of changes within the pace.
+// The pace is shortened at random, so that of many that share their watches one
+// is the first.
+func (w *Watch) restWhileToldOf(ctx context.Context) {
+	if w.Age == nil {
+		return
+	}
+	pace := w.pace()
+	pace -= rand.N(pace/paceSpread + 1)
+	for left := pace - w.Age(); left > 0 && ctx.Err() == nil; left = pace - w.Age() {
+		pause.For(ctx, left)
+	}
+}
+
 func (w *Watch) pace() time.Duration {
 	if w.Hurry != nil && w.Hurry() {
 		return min(w.Pace, hurriedPace)
--- a/prefixwatch/prefixwatch_test.go
+++ b/prefixwatch/prefixwatch_test.go
@@ -207,3 +207,31 @@
 	covered.Store(false)
 	eventually(t, func() bool { return v.get("p/a") == "1" })
 }
+
+// While others tell of changes in time no call is made; when they fall silent
+// the watch goes on from where they told up to.
+func TestSharedWatch(t *testing.T) {
+	f := &faulty{Memory: store.NewMemory()}
+	put(t, f, "p/a", "1")
+	v := &view{}
+	var told atomic.Int64
+	told.Store(time.Now().UnixNano())
+	w := Watch{
+		Age:      func() time.Duration { return time.Duration(time.Now().UnixNano() - told.Load()) },
+		Consumer: v, Logger: slog.New(slog.DiscardHandler), Mark: func() sandbarrow.StoreRevision { return 1 },
+		Pace: 300 * time.Millisecond, Prefix: "p/", Store: f, Wait: 50 * time.Millisecond,
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = w.Run(ctx) }()
+	eventually(t, func() bool { return v.get("p/a") == "1" })
+	for range 20 {
+		time.Sleep(30 * time.Millisecond)
+		told.Store(time.Now().UnixNano())
+	}
+	f.mu.Lock()
+	assert.Equal(t, f.calls, 1, "the first read alone")
+	f.mu.Unlock()
+	put(t, f, "p/b", "2")
+	eventually(t, func() bool { return v.get("p/b") == "2" })
+}
