--- a/controller/controller.go
+++ b/controller/controller.go
@@ -59,8 +59,10 @@
 	mu            sync.Mutex
 	failedReports int
 	// instance is the engine's start, or "" while it is not known.
-	instance  sandbarrow.InstanceID
-	links     map[*link]bool
+	instance sandbarrow.InstanceID
+	links    map[*link]bool
+	// orphans are uses whose link has ended lately.
+	orphans   map[sandbarrow.RequestID]*use
 	published *publisher
 	reported  sandbarrow.EngineReport
 	sequence  uint64
@@ -72,7 +74,7 @@
 func New(c Config) *Controller {
 	e := estate.New(c.Documents, c.Logger)
 	k := &Controller{
-		box: c.Box, control: c.Control, engine: c.Engine, estate: e, links: map[*link]bool{}, logger: c.Logger,
+		box: c.Box, control: c.Control, engine: c.Engine, estate: e, links: map[*link]bool{}, orphans: map[sandbarrow.RequestID]*use{}, logger: c.Logger,
 		metrics: newMetrics(c.Metrics), now: time.Now, published: newPublisher(), service: c.Service, slots: newSlots(evict.NewCost()), store: c.Store,
 		wake: make(chan struct{}, 1),
 		watch: prefixwatch.Watch{
--- a/controller/link.go
+++ b/controller/link.go
@@ -16,6 +16,9 @@
 // relayedMost is how many messages of other gateways wait for a slow link.
 const relayedMost = 4
 
+// orphanGrace is how long a use outlives its link.
+const orphanGrace = 800 * time.Millisecond
+
 // link is the connection of one gateway.
 type link struct {
 	// closed says that the uses of the link were released; guarded by the
@@ -62,8 +65,8 @@
 	defer c.mu.Unlock()
 	delete(c.links, l)
 	l.closed = true
-	for _, u := range l.uses {
-		c.slots.release(c.now(), u)
+	for id, u := range l.uses {
+		c.orphan(id, u)
 	}
 	c.published.announce()
 	c.rouse()
@@ -121,12 +124,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	u := l.uses[id]
+	if u == nil {
+		u = c.orphans[id]
+	}
 	if u == nil {
 		return
 	}
 	u.begun = true
 	if done {
 		delete(l.uses, id)
+		delete(c.orphans, id)
 		c.slots.release(c.now(), u)
 		if len(c.slots.wants) > 0 {
 			c.rouse()
@@ -220,6 +227,11 @@
 	if l.uses[q.ID] != nil {
 		return
 	}
+	if u := c.orphans[q.ID]; u != nil {
+		delete(c.orphans, q.ID)
+		l.keep(q.ID, u)
+		return
+	}
 	u := &use{begun: true, key: sandbarrow.AdapterKey{Adapter: q.Adapter, Model: q.Model}, tokens: q.Tokens}
 	c.slots.hold(c.now(), u)
 	l.keep(q.ID, u)
@@ -257,6 +269,23 @@
 	return w, enginelink.Grant{}
 }
 
+// orphan keeps a use whose link has ended for a moment: the request may go on
+// at the engine while its gateway links anew. The caller holds mu.
+func (c *Controller) orphan(id sandbarrow.RequestID, u *use) {
+	c.orphans[id] = u
+	time.AfterFunc(orphanGrace, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.orphans[id] != u {
+			return
+		}
+		delete(c.orphans, id)
+		c.slots.release(c.now(), u)
+		c.published.announce()
+		c.rouse()
+	})
+}
+
 func (c *Controller) holdsModel(m sandbarrow.BaseModelID) bool {
 	for _, held := range c.reported.Models {
 		if held.Model == m {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -172,7 +172,16 @@
 // the request goes to an engine that is listed as holding the adapter, and the
 // engine itself refuses it where that is no longer so.
 func (c *call) acquire(ctx context.Context, e *candidate, patience time.Duration) (enginelink.Grant, bool) {
+	wait := min(patience, time.Until(c.ends))
+	ask := &enginelink.Acquire{
+		Adapter: c.key.Adapter, ID: sandbarrow.RequestID(c.id), Instance: e.instance.ID, Model: c.key.Model,
+		MostWaiting: e.mostWaiting(), Priority: c.route.Priority, Tokens: c.tokens, Version: c.version, UsefulMS: c.useful().Milliseconds(),
+		WaitMS: max(1, wait.Milliseconds()),
+	}
 	if !e.linked {
+		if e.link != nil {
+			e.link.note(ask) // a controller that is linked meanwhile is told of it
+		}
 		return enginelink.Grant{Version: c.version}, true
 	}
 	began := time.Now()
@@ -181,12 +190,7 @@
 		e.link.await(-c.tokens)
 		c.acquired += time.Since(began)
 	}()
-	wait := min(patience, time.Until(c.ends))
-	g, ok := e.link.acquire(ctx, &enginelink.Acquire{
-		Adapter: c.key.Adapter, ID: sandbarrow.RequestID(c.id), Instance: e.instance.ID, Model: c.key.Model,
-		MostWaiting: e.mostWaiting(), Priority: c.route.Priority, Tokens: c.tokens, Version: c.version, UsefulMS: c.useful().Milliseconds(),
-		WaitMS: max(1, wait.Milliseconds()),
-	})
+	g, ok := e.link.acquire(ctx, ask)
 	if !ok {
 		g.Refused = refuseNoAnswer
 	}
@@ -208,7 +212,7 @@
 }
 
 func (c *call) releaseUse(e *candidate) {
-	if e.linked {
+	if e.link != nil {
 		e.link.tell(enginelink.MethodDone, sandbarrow.RequestID(c.id))
 	}
 }
