Tell other gateways of upstreams that left the list and came back between two reads

Where the list lapses and its upstreams return within one read, the reader told the others that they were gone, and left their return out as a mere heartbeat: the others lost the service's upstreams until their own next read.

Test: TestAdvanceTellsWhatReturned (failed before).

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -3,7 +3,9 @@
 package directory
 
 import (
+	"cmp"
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -209,12 +211,16 @@
 		return change
 	}
 	last := map[sandbarrow.InstanceID]bool{}
+	news := map[sandbarrow.InstanceID]sandbarrow.KeyItem{}
 	for _, it := range items {
-		last[d.list.InstanceID(it.Key)] = it.Gone
-		if it.Gone || d.put(it) {
-			change.Items = append(change.Items, it)
+		id := d.list.InstanceID(it.Key)
+		returned := last[id] // it was gone before in these changes
+		last[id] = it.Gone
+		if it.Gone || d.put(it) || returned {
+			news[id] = it
 		}
 	}
+	change.Items = slices.SortedFunc(maps.Values(news), func(a, b sandbarrow.KeyItem) int { return cmp.Compare(a.Revision, b.Revision) })
 	var gone []sandbarrow.InstanceID
 	for id, isGone := range last {
 		if isGone {
--- a/directory/learn_test.go
+++ b/directory/learn_test.go
@@ -49,6 +49,15 @@
 	assert.Equal(t, ids(other, "s"), ids(d, "s"))
 }
 
+// An upstream that left the list and came back between two reads is told of as
+// being there.
+func TestAdvanceTellsWhatReturned(t *testing.T) {
+	d, other := newDirectory(), newDirectory()
+	other.Learn(d.Advance([]sandbarrow.KeyItem{gone("a", 6), gone("b", 7), item("b", 8, "s 2"), item("b", 9, "s 2")}, 9))
+	assert.Equal(t, ids(d, "s"), "b c d")
+	assert.Equal(t, ids(other, "s"), "b c d")
+}
+
 // A directory that knows nothing yet can't follow a change.
 func TestLearnNeedsAStart(t *testing.T) {
 	d := New(list{}, nil)
