Tell the story of a request from the logs of any number of processes

sandbarrow explain ID [FILE...] reads logs, with whatever stands before the object of a line, and prints the request's own lines among what its deciders came to believe and what became of its adapter, with the cause in one line; JSON too.

--- a/internal/cmd/rootcmd.go
+++ b/internal/cmd/rootcmd.go
@@ -88,6 +88,7 @@
 	add(p, "controller", "run the process that owns the slots of an engine", &controllerCmd{ctx: ctx, out: out})
 	add(p, "demo", "run everything in one process, with stand-ins", &demoCmd{ctx: ctx, out: out})
 	add(p, "entry", "run the process between callers and agents", &entryCmd{ctx: ctx, out: out})
+	add(p, "explain", "tell the story of a request from logs", &explainCmd{out: out})
 	add(p, "gateway", "run the process between callers and upstreams", &gatewayCmd{ctx: ctx, out: out})
 	add(p, "report", "report how fast the error budgets burn", &reportCmd{ctx: ctx, out: out})
 	set := add(p, "settings", "check the settings of a process", &struct{}{})
