--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -51,8 +51,9 @@
 	rankDelay = 25 * time.Millisecond
 	// connectDelay weighs the price of a new connection.
 	connectDelay = 25 * time.Millisecond
-	// domainDelay prefers the own failure domain.
-	domainDelay = 4 * time.Millisecond
+	// domainDelay prefers the own failure domain: its time on the way and the
+	// price of its bytes.
+	domainDelay = 12 * time.Millisecond
 	// blindDelay is the doubt about an engine without its controller.
 	blindDelay = 250 * time.Millisecond
 	// noObjective stands in where a route names none.
