Close callers' connections that rest for longer than the operators allow

The bound was read from the operators' document and not applied: callers' idle time was fixed at 60 s. It is read when a connection begins to rest, since operators may change it at any time.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,7 +50,8 @@
 	stopMargin = 500 * time.Millisecond
 	// headerTimeout bounds the arrival of a request's head.
 	headerTimeout = 5 * time.Second
-	// idleTimeout bounds the rest of a caller's connection.
+	// idleTimeout bounds the rest of a caller's connection where the operators
+	// name no time.
 	idleTimeout = 60 * time.Second
 	// maxHeaderBytes is the technical bound; the estate's limit is checked too.
 	maxHeaderBytes = 64 << 10
@@ -127,7 +128,7 @@
 	defer end()
 	server := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(g.logger.Handler(), slog.LevelDebug),
+		ConnState: newIdleCloser(g.idleBound).note, ErrorLog: slog.NewLogLogger(g.logger.Handler(), slog.LevelDebug),
 	}
 	var group errgroup.Group
 	estateWatch := prefixwatch.Watch{
@@ -148,6 +149,15 @@
 	return group.Wait()
 }
 
+// idleBound is how long the operators let a caller's connection rest.
+func (g *Gateway) idleBound() time.Duration {
+	view := g.estate.View()
+	if view == nil {
+		return 0
+	}
+	return view.Table.Limits.IdleTimeout
+}
+
 // awaitsUpstreams reports whether the list of upstreams is likely incomplete:
 // after a start while new ones are listed one after the other, or while a
 // service has none.
--- /dev/null
+++ b/gateway/idle.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// idleCloser closes callers' connections that rest for longer than the
+// operators allow. The bound is read when a connection begins to rest, since
+// operators may change it at any time.
+type idleCloser struct {
+	// bound is how long a connection may rest; 0 leaves it to the server.
+	bound func() time.Duration
+
+	mu     sync.Mutex
+	timers map[net.Conn]*time.Timer
+}
+
+func newIdleCloser(bound func() time.Duration) *idleCloser {
+	return &idleCloser{bound: bound, timers: map[net.Conn]*time.Timer{}}
+}
+
+// note takes a new state of a connection; it is an http.Server's ConnState.
+func (i *idleCloser) note(c net.Conn, s http.ConnState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if timer := i.timers[c]; timer != nil {
+		timer.Stop()
+		delete(i.timers, c)
+	}
+	if s != http.StateIdle {
+		return
+	}
+	if bound := i.bound(); bound > 0 {
+		i.timers[c] = time.AfterFunc(bound, func() { i.close(c) })
+	}
+}
+
+// close closes a connection that still rests.
+func (i *idleCloser) close(c net.Conn) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.timers[c] == nil {
+		return
+	}
+	delete(i.timers, c)
+	_ = c.Close() // the caller may have closed it meanwhile
+}
