Count decayed demand, find the own service and encode a status in one place each

On reading the change once more: the controller, the gateway's demand and its health held the same decay formula (internal/decay serves all three); the engine's own service was looked up in three ways; the whole status was encoded at each change though links mostly get the brief one (now when a link first needs it); whether a link lives was written twice. Comments that the change had made stale are right again. Behaviour is as before; tests unchanged.

--- a/controller/engineloop.go
+++ b/controller/engineloop.go
@@ -8,6 +8,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/route"
 )
 
 const (
@@ -94,33 +95,38 @@
 // capacity is the number of the engine's slots by the estate, 0 before it is
 // known. The caller holds mu.
 func (c *Controller) capacity() int {
-	view := c.estate.View()
-	if view == nil {
-		return 0
-	}
-	service := view.Table.Services[c.service]
+	service := c.ownService()
 	if service == nil || service.Engine == nil {
 		return 0
 	}
 	return service.Engine.AdapterSlots
 }
 
+// ownService is the engine's service by the estate, or nil where it is not known.
+func (c *Controller) ownService() *route.Service {
+	view := c.estate.View()
+	if view == nil {
+		return nil
+	}
+	return view.Table.Services[c.service]
+}
+
 // identify learns which instance answers, so that no order, however late, is
 // carried out by the next one.
 func (c *Controller) identify(ctx context.Context) bool {
-	view := c.estate.View()
+	service := c.ownService()
 	c.mu.Lock()
 	known := c.instance != ""
 	c.mu.Unlock()
 	if known {
 		return true
 	}
-	if view == nil || view.Table.Services[c.service] == nil {
+	if service == nil {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	id, err := c.control.Identify(ctx, view.Table.Services[c.service].HealthPath)
+	id, err := c.control.Identify(ctx, service.HealthPath)
 	if err != nil {
 		c.logger.Warn("engine not identified", "error", err.Error())
 		return false
@@ -206,11 +212,10 @@
 func (c *Controller) nextOrder(sequence uint64) (sandbarrow.EngineOrder, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	view := c.estate.View()
-	if view == nil || c.token == 0 || c.reported.Leaving {
+	if c.token == 0 || c.reported.Leaving {
 		return sandbarrow.EngineOrder{}, false
 	}
-	service := view.Table.Services[c.service]
+	service := c.ownService()
 	if service == nil || service.Engine == nil {
 		return sandbarrow.EngineOrder{}, false
 	}
@@ -226,7 +231,7 @@
 	}
 	if o.Load && o.Adapter != "" {
 		key := sandbarrow.AdapterKey{Adapter: o.Adapter, Model: o.Model}
-		o.Version = max(o.Version, view.Version(key))
+		o.Version = max(o.Version, c.estate.View().Version(key))
 	}
 	o.Expected, o.Holder, o.Instance, o.Token = sequence, c.box, c.instance, c.token
 	return o, ok
--- a/controller/publisher.go
+++ b/controller/publisher.go
@@ -23,11 +23,12 @@
 // guarded by the controller's mu.
 type publisher struct {
 	at time.Time
-	// brief leaves out what holds is the number of.
+	// brief leaves out what the engine holds; links that were told it get this one.
 	brief json.RawMessage
 	// changed holds one word that the status may differ from the last.
 	changed chan struct{}
-	full    json.RawMessage
+	// full is nil until a link needs it.
+	full json.RawMessage
 	// holds counts the changes of what the engine holds, from 1.
 	holds uint64
 	last  enginelink.Status
@@ -55,10 +56,7 @@
 		p.holds++
 	}
 	p.at, p.last = now, s
-	p.brief = encodeStatus(s.Brief())
-	s.Slots = slices.Clone(s.Slots)
-	s.Compact()
-	p.full = encodeStatus(s)
+	p.brief, p.full = encodeStatus(s.Brief()), nil
 	return true
 }
 
@@ -69,6 +67,12 @@
 	if told == p.holds {
 		return p.brief, told
 	}
+	if p.full == nil {
+		s := p.last
+		s.Slots = slices.Clone(s.Slots)
+		s.Compact()
+		p.full = encodeStatus(s)
+	}
 	return p.full, p.holds
 }
 
--- a/controller/slots.go
+++ b/controller/slots.go
@@ -12,6 +12,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/internal/decay"
 	"sandbarrow.example/sandbarrow/recall"
 )
 
@@ -81,26 +82,13 @@
 	tokens  int
 }
 
-// demand is the decayed count of requests for an adapter.
-type demand struct {
-	at    time.Time
-	count float64
-}
-
-func (d *demand) value(now time.Time) float64 {
-	return d.count * math.Exp2(-now.Sub(d.at).Seconds()/demandHalfLife.Seconds())
-}
-
-func (d *demand) add(now time.Time) {
-	d.count, d.at = d.value(now)+1, now
-}
-
 // slots is the state of an engine's slots and of what waits for them. It is
 // not safe for concurrent use.
 type slots struct {
 	capacity int
-	demands  map[sandbarrow.AdapterKey]*demand
-	evictor  sandbarrow.Evictor
+	// demands counts the requests for each adapter, decayed.
+	demands map[sandbarrow.AdapterKey]*decay.Count
+	evictor sandbarrow.Evictor
 	// loadTook is told how long each load took.
 	loadTook func(sandbarrow.AdapterKey, time.Duration)
 	// memory is what the engine's own memory should hold.
@@ -114,7 +102,7 @@
 
 func newSlots(e sandbarrow.Evictor) *slots {
 	return &slots{
-		demands:  map[sandbarrow.AdapterKey]*demand{},
+		demands:  map[sandbarrow.AdapterKey]*decay.Count{},
 		evictor:  e,
 		loadTook: func(sandbarrow.AdapterKey, time.Duration) {},
 		slots:    map[sandbarrow.AdapterKey]*slot{},
@@ -161,10 +149,10 @@
 		if len(s.demands) >= rememberedAdapters {
 			s.forget(now)
 		}
-		d = &demand{at: now}
+		d = &decay.Count{}
 		s.demands[key] = d
 	}
-	d.add(now)
+	d.Add(now, demandHalfLife)
 }
 
 // forget drops the half of the demands that are least.
@@ -174,7 +162,7 @@
 		keys = append(keys, k)
 	}
 	slices.SortFunc(keys, func(a, b sandbarrow.AdapterKey) int {
-		if s.demands[a].value(now) < s.demands[b].value(now) {
+		if s.demands[a].Value(now, demandHalfLife) < s.demands[b].Value(now, demandHalfLife) {
 			return -1
 		}
 		return 1
@@ -420,7 +408,7 @@
 	if d == nil {
 		return 0
 	}
-	return d.value(now) * math.Ln2 / demandHalfLife.Seconds()
+	return d.Value(now, demandHalfLife) * math.Ln2 / demandHalfLife.Seconds()
 }
 
 // ordered takes note of an order that the engine has accepted; done says that
--- a/gateway/demand.go
+++ b/gateway/demand.go
@@ -1,11 +1,11 @@
 package gateway
 
 import (
-	"math"
 	"sync"
 	"time"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/decay"
 )
 
 const (
@@ -20,21 +20,11 @@
 // demand is how often each adapter was asked for lately, at this gateway.
 type demand struct {
 	mu     sync.Mutex
-	counts map[sandbarrow.AdapterKey]decayed
-}
-
-// decayed is a count at a time; it halves with each demandHalfLife after it.
-type decayed struct {
-	at    time.Time
-	count float64
-}
-
-func (d decayed) value(now time.Time) float64 {
-	return d.count * math.Exp2(-now.Sub(d.at).Seconds()/demandHalfLife.Seconds())
+	counts map[sandbarrow.AdapterKey]*decay.Count
 }
 
 func newDemand() *demand {
-	return &demand{counts: map[sandbarrow.AdapterKey]decayed{}}
+	return &demand{counts: map[sandbarrow.AdapterKey]*decay.Count{}}
 }
 
 // note counts a request and returns how many there were lately, this one among
@@ -42,19 +32,23 @@
 func (d *demand) note(now time.Time, k sandbarrow.AdapterKey) float64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	c := decayed{at: now, count: d.counts[k].value(now) + 1}
-	d.counts[k] = c
+	c := d.counts[k]
+	if c == nil {
+		c = &decay.Count{}
+		d.counts[k] = c
+	}
+	lately := c.Add(now, demandHalfLife)
 	if len(d.counts) > demandKept {
 		d.forget(now)
 	}
-	return c.count
+	return lately
 }
 
 // forget drops what has not been asked for lately, or all where that is not
 // enough. The caller holds mu.
 func (d *demand) forget(now time.Time) {
 	for k, c := range d.counts {
-		if c.value(now) < demandLeast {
+		if c.Value(now, demandHalfLife) < demandLeast {
 			delete(d.counts, k)
 		}
 	}
--- a/gateway/health.go
+++ b/gateway/health.go
@@ -1,11 +1,11 @@
 package gateway
 
 import (
-	"math"
 	"sync"
 	"time"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/decay"
 )
 
 const (
@@ -46,7 +46,7 @@
 
 // share is the decayed share of failures from 0 to 1.
 func (u *upstreamHealth) share(now time.Time) float64 {
-	return u.failures * math.Exp2(-now.Sub(u.at).Seconds()/failureHalfLife.Seconds())
+	return u.failures * decay.Factor(now.Sub(u.at), failureHalfLife)
 }
 
 // begin counts a request that is sent.
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -37,10 +37,10 @@
 	memory recall.Memory
 	rpc    *jsonrpc2.Conn
 	status enginelink.Status
-	// waiting are the prompts granted to this gateway whose answer has not
-	// begun, told the part that the last status counts already.
+	// waiting are this gateway's prompts that were asked for here and whose answer
+	// has not begun, told the part that the last status counts already.
 	waiting, told int
-	// using are the granted uses, to be told to a controller that starts anew.
+	// using are the uses that a controller which is linked anew must be told of.
 	using map[sandbarrow.RequestID]*enginelink.Acquire
 }
 
@@ -126,14 +126,12 @@
 		if err := wire.Decode(r, &m); err != nil {
 			return nil, err
 		}
-		rpc := l.connection()
-		if rpc != nil {
+		if rpc := l.connection(); rpc != nil {
 			go enginelink.TakeMark(ctx, rpc, l.gateway.estate, m, enginelink.WatchLead)
 		}
 		return nil, nil
 	case enginelink.MethodFetch:
-		rpc := l.connection()
-		return enginelink.ServeFetch(rpc, r, l.gateway.estate)
+		return enginelink.ServeFetch(l.connection(), r, l.gateway.estate)
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
 }
@@ -180,7 +178,7 @@
 // answers reports whether the link is up and its engine has told what it
 // holds. The caller holds mu.
 func (l *engineLink) answers(now time.Time) bool {
-	return l.rpc != nil && now.Sub(l.heard) < enginelink.Silence && len(l.status.Models)+len(l.status.Slots) > 0
+	return l.alive(now) && len(l.status.Models)+len(l.status.Slots) > 0
 }
 
 // linkView is what one look at a link tells of its engine.
@@ -239,6 +237,11 @@
 func (l *engineLink) up(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.alive(now)
+}
+
+// alive is up for a caller that holds mu.
+func (l *engineLink) alive(now time.Time) bool {
 	return l.rpc != nil && now.Sub(l.heard) < enginelink.Silence
 }
 
@@ -272,7 +275,7 @@
 	return g, err == nil
 }
 
-// note keeps a granted use.
+// note keeps a use that was granted, or begun without the controller.
 func (l *engineLink) note(q *enginelink.Acquire) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -291,6 +294,6 @@
 	}
 	l.mu.Unlock()
 	if rpc != nil {
-		_ = rpc.Notify(context.Background(), method, enginelink.Use{ID: id}) // a lost link frees all uses
+		_ = rpc.Notify(context.Background(), method, enginelink.Use{ID: id}) // a lost link frees its uses after a moment
 	}
 }
--- a/prefixwatch/prefixwatch.go
+++ b/prefixwatch/prefixwatch.go
@@ -106,12 +106,12 @@
 func (w *Watch) rest(ctx context.Context, began time.Time) {
 	if w.Age == nil {
 		pause.For(ctx, w.pace()-time.Since(began))
-		return
 	}
 	w.restWhileToldOf(ctx)
 }
 
-// restWhileToldOf waits while the consumer was told of changes within the pace.
+// restWhileToldOf waits while others have told the consumer of changes within
+// the pace; a watch that nobody shares does not wait.
 // The pace is shortened at random, so that of many that share their watches one
 // is the first.
 func (w *Watch) restWhileToldOf(ctx context.Context) {
