--- a/controller/orphan_test.go
+++ b/controller/orphan_test.go
@@ -11,14 +11,26 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/internal/await"
 	"sandbarrow.example/sandbarrow/wire"
 )
 
-// linkTo opens a link as a gateway does.
-func linkTo(ctx context.Context, c *Controller) *jsonrpc2.Conn {
+// linkTo opens a link as a gateway does; got is told each message, nil for none.
+func linkTo(ctx context.Context, c *Controller, got func(*jsonrpc2.Request)) *jsonrpc2.Conn {
 	near, far := net.Pipe()
 	go c.serveLink(ctx, near)
-	return jsonrpc2.NewConn(ctx, wire.NewStream(far), wire.Handler(func(context.Context, *jsonrpc2.Request) (any, error) { return nil, nil }))
+	return jsonrpc2.NewConn(ctx, wire.NewStream(far), wire.Handler(func(_ context.Context, r *jsonrpc2.Request) (any, error) {
+		if got != nil {
+			got(r)
+		}
+		return nil, nil
+	}))
+}
+
+func (c *Controller) linked() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.links)
 }
 
 func (c *Controller) usesOf(adapter string) int {
@@ -29,11 +41,7 @@
 
 func eventually(t *testing.T, ok func() bool) {
 	t.Helper()
-	for deadline := time.Now().Add(5 * time.Second); !ok(); time.Sleep(2 * time.Millisecond) {
-		if time.Now().After(deadline) {
-			t.Fatal("did not come about in 5 s")
-		}
-	}
+	await.Until(t, 5*time.Second, "what is awaited", ok)
 }
 
 // A request goes on at its engine when the link of its gateway breaks: its
@@ -45,17 +53,13 @@
 	c := newTestController(t, f)
 	step(t, c)
 	ask := enginelink.Acquire{Adapter: "a", ID: "1", Model: testModel, WaitMS: 100}
-	first := linkTo(t.Context(), c)
+	first := linkTo(t.Context(), c, nil)
 	var g enginelink.Grant
 	assert.NilError(t, first.Call(t.Context(), enginelink.MethodAcquire, ask, &g))
 	assert.NilError(t, first.Close())
-	eventually(t, func() bool {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		return len(c.links) == 0
-	})
+	eventually(t, func() bool { return c.linked() == 0 })
 	assert.Equal(t, c.usesOf("a"), 1, "the request may run still")
-	second := linkTo(t.Context(), c)
+	second := linkTo(t.Context(), c, nil)
 	assert.NilError(t, second.Notify(t.Context(), enginelink.MethodUsing, ask))
 	time.Sleep(orphanGrace + 100*time.Millisecond)
 	assert.Equal(t, c.usesOf("a"), 1, "its gateway has linked anew")
--- a/controller/publisher_test.go
+++ b/controller/publisher_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,7 +10,6 @@
 	"gotest.tools/v3/assert"
 
 	"sandbarrow.example/sandbarrow/enginelink"
-	"sandbarrow.example/sandbarrow/wire"
 )
 
 func TestPublisherTellsChangesAndHeartbeats(t *testing.T) {
@@ -33,21 +31,14 @@
 	go func() { _ = c.publishLoop(ctx) }()
 	var sent atomic.Int64
 	for range gateways {
-		near, far := net.Pipe()
-		go c.serveLink(ctx, near)
-		rpc := jsonrpc2.NewConn(ctx, wire.NewStream(far), wire.Handler(func(_ context.Context, r *jsonrpc2.Request) (any, error) {
+		rpc := linkTo(ctx, c, func(r *jsonrpc2.Request) {
 			if r.Method == enginelink.MethodStatus {
 				sent.Add(1)
 			}
-			return nil, nil
-		}))
+		})
 		defer rpc.Close()
 	}
-	deadline := time.Now().Add(5 * time.Second)
-	for sent.Load() < gateways && time.Now().Before(deadline) {
-		time.Sleep(time.Millisecond)
-	}
-	assert.Assert(t, sent.Load() >= gateways, "every link is told a status")
+	eventually(t, func() bool { return sent.Load() >= gateways })
 	began, before := time.Now(), sent.Load()
 	for time.Since(began) < time.Second {
 		c.mu.Lock()
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -21,6 +21,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/controller"
+	"sandbarrow.example/sandbarrow/internal/await"
 	"sandbarrow.example/sandbarrow/route"
 	"sandbarrow.example/sandbarrow/store"
 )
@@ -307,11 +308,7 @@
 
 func eventually(t *testing.T, ok func() bool) {
 	t.Helper()
-	for deadline := time.Now().Add(10 * time.Second); !ok(); time.Sleep(3 * time.Millisecond) {
-		if time.Now().After(deadline) {
-			t.Fatal("did not come about in 10 s")
-		}
-	}
+	await.Until(t, 10*time.Second, "what is awaited", ok)
 }
 
 func plainRoute(kind route.Kind) route.Route {
--- a/internal/systest/abuse_test.go
+++ b/internal/systest/abuse_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/await"
 )
 
 // open starts a streamed completion and returns its connection's reader.
@@ -39,7 +40,7 @@
 	assert.NilError(t, err)
 	s.waitBusy("sandbarrow_running")
 	cancel()
-	eventually(t, 3*time.Second, "the run ends", func() bool { return s.busy("sandbarrow_running") == nil })
+	await.Until(t, 3*time.Second, "the run ends", func() bool { return s.busy("sandbarrow_running") == nil })
 	s.normal(kinds[0])
 	s.checker.verify("v1")
 }
--- a/internal/systest/configuration_test.go
+++ b/internal/systest/configuration_test.go
@@ -12,6 +12,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/config"
+	"sandbarrow.example/sandbarrow/internal/await"
 	"sandbarrow.example/sandbarrow/standin"
 	"sandbarrow.example/sandbarrow/store"
 )
@@ -29,7 +30,7 @@
 	for _, m := range s.members {
 		urls = append(urls, m.url(s.t))
 	}
-	eventually(s.t, forceLimit, "configuration in force everywhere", func() bool {
+	await.Until(s.t, forceLimit, "configuration in force everywhere", func() bool {
 		for _, u := range urls {
 			if metric(u, revisionMetric) != revision {
 				return false
@@ -91,7 +92,7 @@
 		}
 		t.Logf("in force everywhere after %v", s.waitRevision(2))
 		s.faults(s.kv, standin.Faults{})
-		eventually(t, 10*time.Second, "an answer under v2", func() bool {
+		await.Until(t, 10*time.Second, "an answer under v2", func() bool {
 			c := s.start(streamOf(1)).wait(t)
 			return c.outcome == sandbarrow.OutcomeWhole && c.header.Get("Sandbarrow-Model") == string(c.adapter)+"@v2"
 		})
--- a/internal/systest/matrix_test.go
+++ b/internal/systest/matrix_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/await"
 	"sandbarrow.example/sandbarrow/standin"
 )
 
@@ -275,7 +276,7 @@
 func (s *system) normal(k kind) {
 	s.t.Helper()
 	n := 0
-	eventually(s.t, 10*time.Second, "whole answers again", func() bool {
+	await.Until(s.t, 10*time.Second, "whole answers again", func() bool {
 		n++
 		return s.start(k.make(fmt.Sprintf("after %d", n))).wait(s.t).outcome == sandbarrow.OutcomeWhole
 	})
@@ -296,7 +297,7 @@
 // waitRun waits until a call has started at an upstream.
 func (s *system) waitRun(c *call) {
 	s.t.Helper()
-	eventually(s.t, 5*time.Second, "run started", func() bool { return s.runner(c) != nil })
+	await.Until(s.t, 5*time.Second, "run started", func() bool { return s.runner(c) != nil })
 }
 
 // busy returns a member whose gauge is above zero.
@@ -311,7 +312,7 @@
 
 func (s *system) waitBusy(gauge string) {
 	s.t.Helper()
-	eventually(s.t, 5*time.Second, gauge, func() bool { return s.busy(gauge) != nil })
+	await.Until(s.t, 5*time.Second, gauge, func() bool { return s.busy(gauge) != nil })
 }
 
 // url is where a member's agent serves its metrics.
--- a/internal/systest/stops_test.go
+++ b/internal/systest/stops_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/await"
 	"sandbarrow.example/sandbarrow/standin"
 )
 
@@ -303,7 +304,7 @@
 				assert.Equal(t, len(s.log(s.members[0].backend).Orders), orders, "an order without a lease")
 			}
 			s.faults(s.kv, standin.Faults{})
-			eventually(t, 10*time.Second, "a cold adapter is loaded again", func() bool {
+			await.Until(t, 10*time.Second, "a cold adapter is loaded again", func() bool {
 				return ask(3, "after").outcome == sandbarrow.OutcomeWhole
 			})
 			s.checker.verify("v1")
@@ -320,7 +321,7 @@
 	s := startSystem(t, sh)
 	s.faults(s.members[0].backend, standin.Faults{LoseReplies: 1})
 	s.start(&call{adapter: adapter(1), content: "lost", tokens: 5}).wait(t)
-	eventually(t, 8*time.Second, "another adapter gets the slot", func() bool {
+	await.Until(t, 8*time.Second, "another adapter gets the slot", func() bool {
 		c := s.start(&call{adapter: adapter(2), content: "main", deadline: 3 * time.Second, tokens: 5}).wait(t)
 		return c.outcome == sandbarrow.OutcomeWhole
 	})
@@ -333,7 +334,7 @@
 	s := startSystem(t, defaultShape())
 	m := s.members[0]
 	m.relay.setCut(true)
-	eventually(t, 5*time.Second, "the old box is missed", func() bool {
+	await.Until(t, 5*time.Second, "the old box is missed", func() bool {
 		return metric(s.urls[0], "sandbarrow_agents_connected") == float64(len(s.members)-1)
 	})
 	m.box.Address = m.process.field(t, "agent started", "rpc")
--- a/internal/systest/system_test.go
+++ b/internal/systest/system_test.go
@@ -19,12 +19,12 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/config"
 	// The tests run the built binaries; the import makes a change of any package
 	// in them a change of the tests, whose results are cached otherwise.
+	"sandbarrow.example/sandbarrow/internal/await"
 	_ "sandbarrow.example/sandbarrow/internal/cmd"
 	"sandbarrow.example/sandbarrow/standin"
 	"sandbarrow.example/sandbarrow/store"
@@ -98,7 +98,7 @@
 func (p *process) field(t testing.TB, message, key string) string {
 	t.Helper()
 	var value string
-	eventually(t, 10*time.Second, message, func() bool {
+	await.Until(t, 10*time.Second, message, func() bool {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		value, _ = p.lines[message][key].(string)
@@ -160,16 +160,6 @@
 	}
 }
 
-func eventually(t testing.TB, within time.Duration, what string, check func() bool) {
-	t.Helper()
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if check() {
-			return poll.Success()
-		}
-		return poll.Continue("%s", what)
-	}, poll.WithTimeout(within), poll.WithDelay(10*time.Millisecond))
-}
-
 // shape describes a system under test.
 type shape struct {
 	checksToken bool
@@ -381,7 +371,7 @@
 
 func (s *system) waitConnected(entry, agents int) {
 	s.t.Helper()
-	eventually(s.t, 15*time.Second, "agents connected", func() bool {
+	await.Until(s.t, 15*time.Second, "agents connected", func() bool {
 		return metric(s.urls[entry], "sandbarrow_agents_connected") == float64(agents) &&
 			metric(s.urls[entry], "sandbarrow_configuration_revision") >= 1
 	})
--- a/prefixwatch/prefixwatch_test.go
+++ b/prefixwatch/prefixwatch_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/await"
 	"sandbarrow.example/sandbarrow/store"
 )
 
@@ -114,11 +115,7 @@
 
 func eventually(t *testing.T, ok func() bool) {
 	t.Helper()
-	for deadline := time.Now().Add(5 * time.Second); !ok(); time.Sleep(2 * time.Millisecond) {
-		if time.Now().After(deadline) {
-			t.Fatal("did not come about in 5 s")
-		}
-	}
+	await.Until(t, 5*time.Second, "what is awaited", ok)
 }
 
 func TestFollows(t *testing.T) {
