Know what an engine keeps of a prompt; count only what it must read

Change: package promptcache. Gateways send the stretches of a prompt with the acquire; a controller models what its engine keeps (least recently used, by the memory of the operators' document, dropped with the adapter, the version and the engine's start) and reports changes to its gateways in a message of its own. Cost, lateness, urgency, the tokens that wait and the learnt speed count what is left to read. No call to the engine.

--- a/controller/acquire.go
+++ b/controller/acquire.go
@@ -11,7 +11,7 @@
 // for the load to begin; once the adapter is loading, a while longer.
 func (l *link) acquire(q *enginelink.Acquire) enginelink.Grant {
 	c := l.controller
-	p := &pin{key: sandbarrow.AdapterKey{Adapter: q.Adapter, Model: q.Model}, priority: q.Priority, tokens: q.Tokens}
+	p := &pin{key: sandbarrow.AdapterKey{Adapter: q.Adapter, Model: q.Model}, priority: q.Priority, stretches: q.Stretches, tokens: q.Tokens}
 	w, refusal := l.enqueue(q, p)
 	if w == nil {
 		c.metrics.refused(refusal.Refused)
@@ -180,7 +180,7 @@
 		return
 	}
 	if !done {
-		c.slots.reading.begun(c.now(), p)
+		c.slots.begun(c.now(), p)
 	}
 	p.begun = true
 	if done {
--- a/controller/engineloop.go
+++ b/controller/engineloop.go
@@ -66,6 +66,7 @@
 	if r.Sequence < c.sequence {
 		c.logger.Warn("engine restarted", "sequence", r.Sequence, "before", c.sequence, "instance", string(c.instance))
 		c.instance = ""
+		c.slots.kept.Clear()
 	}
 	if r.Draining && !c.reported.Draining {
 		c.logger.Info("engine draining")
@@ -74,7 +75,7 @@
 	now := c.now()
 	c.sequence = r.Sequence
 	c.reported = r
-	c.slots.capacity = c.capacity()
+	c.applyCapacity()
 	c.slots.reconcile(now, r.Models, r.Loading)
 	c.slots.grantLoaded(now)
 	if c.slots.loading() > 0 || r.Busy {
@@ -94,14 +95,14 @@
 	}
 }
 
-// capacity is the number of the engine's slots by the operators' state, 0 before that
-// is known. The caller holds mu.
-func (c *Controller) capacity() int {
-	service := c.ownService()
-	if service == nil || service.Engine == nil {
-		return 0
+// applyCapacity applies what the operators' state says of the engine's size; before that
+// is known it counts as nothing. The caller holds mu.
+func (c *Controller) applyCapacity() {
+	c.slots.capacity = 0
+	if service := c.ownService(); service != nil && service.Engine != nil {
+		c.slots.capacity = service.Engine.AdapterSlots
+		c.slots.kept.SetCapacity(service.Engine.MemoryTokens)
 	}
-	return service.Engine.AdapterSlots
 }
 
 // ownService is the engine's service by the operators' state, or nil where it is not
--- a/controller/gatewaylink.go
+++ b/controller/gatewaylink.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"slices"
 
 	"github.com/sourcegraph/jsonrpc2"
 
@@ -138,7 +139,7 @@
 // sendStatuses sends the status at once, then each published one. One that is
 // overtaken while the link is slow is left out.
 func (l *link) sendStatuses(ctx context.Context) {
-	sent := uint64(0)
+	sent, keptAt := uint64(0), uint64(0)
 	for ctx.Err() == nil {
 		l.controller.mu.Lock()
 		message, holds := l.controller.published.message(sent)
@@ -149,12 +150,32 @@
 			}
 			sent = holds
 		}
+		if keptAt = l.sendKept(ctx, keptAt); keptAt == 0 {
+			return
+		}
 		if !l.relayUntilStatus(ctx) {
 			return
 		}
 	}
 }
 
+// sendKept reports what changed of the prompt parts that the engine keeps since a
+// number, and returns the next number, or 0 when the link has ended.
+func (l *link) sendKept(ctx context.Context, after uint64) uint64 {
+	c := l.controller
+	c.mu.Lock()
+	changes, all, next := c.slots.kept.Changes(after)
+	message := enginelink.Kept{All: all, Changes: slices.Clone(changes)}
+	c.mu.Unlock()
+	if len(changes) == 0 && !all {
+		return next
+	}
+	if l.rpc.Notify(ctx, enginelink.MethodKept, message) != nil {
+		return 0
+	}
+	return next
+}
+
 // relayUntilStatus passes on the messages of other gateways until there is a status
 // to send. It returns false when the link has ended.
 func (l *link) relayUntilStatus(ctx context.Context) bool {
--- a/controller/pendingload.go
+++ b/controller/pendingload.go
@@ -5,6 +5,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/promptcache"
 )
 
 const (
@@ -31,7 +32,11 @@
 	priority int
 	// readBefore is how many prompt tokens the engine had read at grantedAt.
 	readBefore int
-	tokens     int
+	// stretches are those of the prompt.
+	stretches []promptcache.Stretch
+	// tokens is the length of the prompt, unread the part of it that the engine did not
+	// keep at the grant.
+	tokens, unread int
 }
 
 // pendingRequest is one request that waits for its adapter. Its channel holds one
--- a/controller/reading.go
+++ b/controller/reading.go
@@ -24,19 +24,21 @@
 	p.grantedAt, p.readBefore = now, r.read
 	if len(r.unread) > 0 {
 		// The engine is reading the oldest one; on average half of it is left.
-		p.readBefore += r.unread[0].tokens / 2
+		p.readBefore += r.unread[0].unread / 2
 	}
 	r.unread = append(r.unread, p)
 }
 
 // begun notes that the answer to a request has begun: since its grant the engine has
-// read the prompts of all answers that have begun meanwhile.
-func (r *reading) begun(now time.Time, p *pin) {
+// read the prompts of all answers that have begun meanwhile. It returns false where that
+// was known.
+func (r *reading) begun(now time.Time, p *pin) bool {
 	if !r.forget(p) {
-		return
+		return false
 	}
-	r.read += p.tokens
+	r.read += p.unread
 	r.speed.Observe(r.read-p.readBefore, now.Sub(p.grantedAt))
+	return true
 }
 
 // forget drops a request that ends without an answer, and reports whether it was
@@ -54,7 +56,7 @@
 func (r *reading) waiting() enginelink.Waiting {
 	var w enginelink.Waiting
 	for _, p := range r.unread {
-		w.Add(p.priority, p.tokens)
+		w.Add(p.priority, p.unread)
 	}
 	return w
 }
--- a/controller/reading_test.go
+++ b/controller/reading_test.go
@@ -15,7 +15,7 @@
 func TestReadingCountsWhatWaits(t *testing.T) {
 	now := time.Unix(0, 0)
 	var r reading
-	chat, brief := &pin{tokens: 500}, &pin{priority: 1, tokens: 9000}
+	chat, brief := &pin{unread: 500}, &pin{priority: 1, unread: 9000}
 	r.granted(now, chat)
 	r.granted(now, brief)
 	assert.Equal(t, r.waiting(), enginelink.Waiting{500, 9000})
@@ -46,12 +46,12 @@
 				r.begun(under[0].at, under[0].pin)
 				under = under[1:]
 			}
-			p := &pin{tokens: []int{800, 9000, 3000, 6000}[i%4]}
+			p := &pin{unread: []int{800, 9000, 3000, 6000}[i%4]}
 			r.granted(now, p)
 			if free.Before(now) {
 				free = now
 			}
-			free = free.Add(engine.Read(p.tokens))
+			free = free.Add(engine.Read(p.unread))
 			under = append(under, read{free, p})
 		}
 		got := r.speed.Speed()
--- a/controller/reconcile.go
+++ b/controller/reconcile.go
@@ -31,11 +31,12 @@
 	}
 	for key := range s.slots {
 		if !held[key] {
-			delete(s.slots, key)
+			s.remove(key)
 		}
 	}
 	if len(models) == 0 {
 		s.memory.Forget()
+		s.kept.Clear()
 	}
 	s.memory.Note(maps.Keys(held))
 }
@@ -74,7 +75,7 @@
 	sl := s.slots[key]
 	switch {
 	case !o.Load && done:
-		delete(s.slots, key)
+		s.remove(key)
 	case !o.Load:
 		sl.state = enginelink.SlotReplacing
 	case sl != nil:
--- a/controller/slots.go
+++ b/controller/slots.go
@@ -7,6 +7,7 @@
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
 	"sandbarrow.example/sandbarrow/internal/decay"
+	"sandbarrow.example/sandbarrow/promptcache"
 	"sandbarrow.example/sandbarrow/recall"
 )
 
@@ -20,6 +21,8 @@
 	// demands counts the requests for each adapter, decayed.
 	demands map[sandbarrow.AdapterKey]*decay.Count
 	evictor sandbarrow.Evictor
+	// kept is what the engine's memory should keep of the prompts it has read.
+	kept promptcache.Memory
 	// loadTook is called with the time of each load.
 	loadTook func(sandbarrow.AdapterKey, time.Duration)
 	// memory is what the engine's own memory should hold.
@@ -102,6 +105,7 @@
 func (s *slots) pin(now time.Time, p *pin) {
 	p.granted = true
 	if !p.begun {
+		p.unread = max(0, p.tokens-s.kept.Kept(p.stretches))
 		s.reading.granted(now, p)
 	}
 	s.pins[p.key]++
@@ -126,6 +130,21 @@
 	}
 }
 
+// begun notes that the answer to a pinned request has begun, so that the engine has
+// read its prompt and keeps it.
+func (s *slots) begun(now time.Time, p *pin) {
+	if s.reading.begun(now, p) {
+		s.kept.Use(p.key, p.stretches)
+	}
+}
+
+// remove takes an adapter out of its slot. The engine discards with it what it kept
+// of the adapter's prompts.
+func (s *slots) remove(key sandbarrow.AdapterKey) {
+	delete(s.slots, key)
+	s.kept.Drop(key)
+}
+
 // refuseAll refuses all that wait.
 func (s *slots) refuseAll(reason enginelink.RefuseReason) {
 	for key, load := range s.pending {
--- a/enginelink/messages.go
+++ b/enginelink/messages.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/promptcache"
 	"sandbarrow.example/sandbarrow/readspeed"
 )
 
@@ -26,6 +27,8 @@
 	MethodFetch = "estate.fetch"
 	// MethodHello opens a link.
 	MethodHello = "link.hello"
+	// MethodKept reports which prompt parts an engine keeps.
+	MethodKept = "engine.kept"
 	// MethodListed carries what one gateway has read of the list of upstreams; the
 	// controller relays it to the others.
 	MethodListed = "directory.change"
@@ -109,7 +112,9 @@
 	// the best choice still; 0 takes it in any case.
 	MostWaiting int `json:"most_waiting,omitempty"`
 	Priority    int `json:"priority"`
-	Tokens      int `json:"tokens"`
+	// Stretches are those of the prompt, for an estimate of what the engine keeps of it.
+	Stretches []promptcache.Stretch `json:"stretches,omitempty"`
+	Tokens    int                   `json:"tokens"`
 	// UsefulMS is how long a grant still lets the answer be in time, in
 	// milliseconds; it may be negative.
 	UsefulMS int64 `json:"useful_ms"`
@@ -119,6 +124,14 @@
 	WaitMS int64 `json:"wait_ms"`
 }
 
+// Kept is what changed of the prompt parts that an engine keeps, as its controller
+// estimates it.
+type Kept struct {
+	// All says that the changes are all that is kept.
+	All     bool                 `json:"all,omitempty"`
+	Changes []promptcache.Change `json:"changes"`
+}
+
 // Grant answers an acquire.
 type Grant struct {
 	Refused RefuseReason              `json:"refused,omitempty"`
--- a/gateway/callerrequest.go
+++ b/gateway/callerrequest.go
@@ -13,6 +13,7 @@
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/estate"
 	"sandbarrow.example/sandbarrow/forward"
+	"sandbarrow.example/sandbarrow/promptcache"
 	"sandbarrow.example/sandbarrow/route"
 )
 
@@ -30,7 +31,7 @@
 )
 
 // callerRequest is what a caller asks for. It is filled before the first attempt;
-// after that only version changes, when operators name a newer one.
+// after that only version and stretches change, when operators name a newer one.
 type callerRequest struct {
 	began   time.Time
 	body    []byte
@@ -49,6 +50,8 @@
 	// first part of the prompt.
 	affinity string
 	key      sandbarrow.AdapterKey
+	// stretches are those of the prompt, for the version of the last choice.
+	stretches []promptcache.Stretch
 	// tokens is the length of the prompt; 0 where the caller names none.
 	tokens  int
 	version sandbarrow.AdapterVersion
@@ -134,6 +137,17 @@
 	c.lastEvent = c.request.Header.Get(names.LastEvent)
 }
 
+// readVersion reads which version must run now, and what engines may keep of the prompt
+// for it.
+func (c *call) readVersion() {
+	version := c.gateway.estate.View().Version(c.key)
+	if version == c.version && c.stretches != nil {
+		return
+	}
+	c.version = version
+	c.stretches = promptcache.Stretches(c.key, version, c.request.Header.Get(c.gateway.config.Headers.Prompt))
+}
+
 // readTokens reads the prompt's length in tokens from a list that begins with it.
 // A missing or malformed length counts as 0: it only estimates the engine's work,
 // and a request is served without an estimate.
--- a/gateway/calllog.go
+++ b/gateway/calllog.go
@@ -67,7 +67,7 @@
 	}
 	return []slog.Attr{
 		slog.Bool("linked", e.linked), slog.Bool("held", e.held), slog.Int("free", e.status.Free), slog.Int("running", e.status.Running),
-		slog.Int("waiting_tokens", e.waitingTokens), slog.Int64("cost_ms", e.cost.Milliseconds()),
+		slog.Int("kept_tokens", e.kept), slog.Int("waiting_tokens", e.waitingTokens), slog.Int64("cost_ms", e.cost.Milliseconds()),
 		slog.Float64("token_us", float64(e.speed().PerToken)/float64(time.Microsecond)), slog.Int64("base_ms", e.speed().Base.Milliseconds()),
 		slog.Int64("status_age_ms", e.link.age().Milliseconds()),
 	}
--- a/gateway/candidate.go
+++ b/gateway/candidate.go
@@ -54,7 +54,7 @@
 		if m.instance.Draining || excluded[m.instance.ID] {
 			continue
 		}
-		e := candidate{instance: m.instance, link: m.link, linkView: m.link.view(now, c.key, c.route.Priority)}
+		e := candidate{instance: m.instance, link: m.link, linkView: m.link.view(now, c)}
 		if e.linked && (e.status.Draining || e.status.EngineUnreachable) {
 			continue
 		}
@@ -108,6 +108,14 @@
 	return false
 }
 
+// unread is how much of a prompt of so many tokens the engine has to read.
+func (e *candidate) unread(tokens int) int {
+	if e == nil {
+		return tokens
+	}
+	return max(0, tokens-e.kept)
+}
+
 // speed is how fast the engine reads prompts, as its controller estimates it; nil is
 // any engine.
 func (e *candidate) speed() readspeed.Speed {
--- a/gateway/controllerlink.go
+++ b/gateway/controllerlink.go
@@ -109,6 +109,13 @@
 		}
 		l.applyStatus(s)
 		return nil, nil
+	case enginelink.MethodKept:
+		var k enginelink.Kept
+		if err := wire.Decode(r, &k); err != nil {
+			return nil, err
+		}
+		l.applyKept(&k)
+		return nil, nil
 	case enginelink.MethodListed:
 		var change directory.Change
 		if err := wire.Decode(r, &change); err != nil {
--- a/gateway/enginecost.go
+++ b/gateway/enginecost.go
@@ -130,7 +130,7 @@
 // it can't serve it. Before, cost holds the penalty for recent failures.
 func (e *candidate) appraise(n *need, f *fleetSurvey) bool {
 	speed := e.speed()
-	read := speed.Read(n.tokens)
+	read := speed.Read(e.unread(n.tokens))
 	e.cost += read
 	if e.remote {
 		e.cost += domainDelay
--- a/gateway/linkstate.go
+++ b/gateway/linkstate.go
@@ -8,6 +8,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/promptcache"
 	"sandbarrow.example/sandbarrow/readspeed"
 	"sandbarrow.example/sandbarrow/recall"
 )
@@ -16,6 +17,8 @@
 // for concurrent use; methods whose name ends in Locked want mu held.
 type linkState struct {
 	mu sync.Mutex
+	// kept is what the engine keeps of the prompts it has read.
+	kept promptcache.Mirror
 	// lastContact is when the link came up or the last status arrived.
 	lastContact time.Time
 	memory      recall.Memory
@@ -31,6 +34,8 @@
 
 // linkView is one look at an engine on behalf of a request.
 type linkView struct {
+	// kept is how many tokens of the prompt the engine keeps.
+	kept int
 	// linked says that the controller is linked and has reported what the engine holds.
 	linked bool
 	// recallable says that the engine's own memory should hold the adapter.
@@ -40,15 +45,17 @@
 	waitingTokens int
 }
 
-// view looks at the engine on behalf of a request of a priority for an adapter. A nil
-// link is not linked.
-func (l *controllerLink) view(now time.Time, k sandbarrow.AdapterKey, priority int) linkView {
+// view looks at the engine on behalf of a call. A nil link is not linked.
+func (l *controllerLink) view(now time.Time, c *call) linkView {
 	if l == nil {
 		return linkView{}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return linkView{linked: l.usableLocked(now), recallable: l.memory.Has(k), status: l.status, waitingTokens: l.waitingTokensLocked(priority)}
+	return linkView{
+		kept: l.kept.Kept(c.stretches), linked: l.usableLocked(now), recallable: l.memory.Has(c.key), status: l.status,
+		waitingTokens: l.waitingTokensLocked(c.route.Priority),
+	}
 }
 
 // age is how old the last status is.
@@ -138,6 +145,13 @@
 	l.status, l.lastContact, l.countedTokens = s, time.Now(), l.ownTokens
 }
 
+// applyKept follows what the engine keeps of the prompts it has read.
+func (l *linkState) applyKept(k *enginelink.Kept) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.kept.Apply(k.Changes, k.All)
+}
+
 // connection returns the connection to the controller, or nil.
 func (l *linkState) connection() *jsonrpc2.Conn {
 	l.mu.Lock()
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -58,7 +58,7 @@
 	s := engineSearch{excluded: map[sandbarrow.InstanceID]bool{}, why: reasonNoUpstream}
 	c.estimateDemand()
 	for ctx.Err() == nil && time.Until(c.ends) > leastSend && s.acquires < maxAcquires {
-		c.version = c.gateway.estate.View().Version(c.key)
+		c.readVersion()
 		e := c.gateway.chooseEngine(c, s.excluded)
 		if s.acquires == 0 && (e == nil || !c.gateway.engines.anyUp()) && c.awaitEngines(ctx) {
 			continue
@@ -139,7 +139,7 @@
 	wait := min(patience, time.Until(c.ends))
 	ask := &enginelink.Acquire{
 		Adapter: c.key.Adapter, ID: sandbarrow.RequestID(c.id), Instance: e.instance.ID, Model: c.key.Model,
-		MostWaiting: e.mostWaitingTokens(), Priority: c.route.Priority, Tokens: c.tokens, Version: c.version, UsefulMS: c.useful(e).Milliseconds(),
+		MostWaiting: e.mostWaitingTokens(), Priority: c.route.Priority, Stretches: c.stretches, Tokens: c.tokens, Version: c.version, UsefulMS: c.useful(e).Milliseconds(),
 		WaitMS: max(1, wait.Milliseconds()),
 	}
 	if !e.linked {
@@ -149,9 +149,10 @@
 		return enginelink.Grant{Version: c.version}, true
 	}
 	began := time.Now()
-	e.link.addTokens(c.route.Priority, c.tokens)
+	unread := e.unread(c.tokens)
+	e.link.addTokens(c.route.Priority, unread)
 	defer func() {
-		e.link.addTokens(c.route.Priority, -c.tokens)
+		e.link.addTokens(c.route.Priority, -unread)
 		c.acquired += time.Since(began)
 	}()
 	g, ok := e.link.acquire(ctx, ask)
@@ -164,7 +165,7 @@
 // useful is how long a grant at an engine still lets the answer be in time; it may be
 // negative.
 func (c *call) useful(e *candidate) time.Duration {
-	return c.untilObjective(time.Now()) - e.speed().Read(c.tokens)
+	return c.untilObjective(time.Now()) - e.speed().Read(e.unread(c.tokens))
 }
 
 // unpin ends the pin at an engine.
@@ -216,7 +217,7 @@
 	defer cancel(nil)
 	p := &progress{start: time.Now()}
 	if e.linked {
-		c.unread = c.tokens
+		c.unread = e.unread(c.tokens)
 		e.link.addTokens(c.route.Priority, c.unread)
 		defer func() { e.link.addTokens(c.route.Priority, -c.unread) }()
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -83,6 +83,9 @@
 type Engine struct {
 	// AdapterSlots is the number of adapters that an engine holds at once.
 	AdapterSlots int
+	// MemoryTokens is how many tokens an engine's memory holds, of running requests and
+	// of prompts that it keeps; 0 where that is not known.
+	MemoryTokens int
 	Models       []Model
 }
 
