--- a/controller/acquire.go
+++ b/controller/acquire.go
@@ -194,9 +194,8 @@
 	c.published.announce()
 }
 
-// orphanGrace is how long a pin outlives its link: longer than a gateway needs to
-// link again (0.15 s on average, forward.DialTimeout at most). Found by soak seed 3
-// (commit 8ec2e77a).
+// orphanGrace is how long a pin outlives its link: longer than a gateway needs to link
+// again (0.15 s on average, forward.DialTimeout at most). TestSoak/3 holds it.
 const orphanGrace = 800 * time.Millisecond
 
 // orphan keeps a pin whose link has ended for orphanGrace: the request may go on at
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -33,11 +33,11 @@
 )
 
 const (
-	// watchWait is the longest wait of one watch of the operators' state. Each call has
-	// its price, and gateways announce what a lost watch would miss (commit 3cfdff41).
+	// watchWait is the longest wait of one watch of the operators' state. Each call has its
+	// price, and gateways announce what a lost watch would miss.
 	watchWait = 12 * time.Second
-	// coveringLinks is how many linked gateways make an own watch needless: with two,
-	// one that is cut off from the store hides no change (commit 218327f3).
+	// coveringLinks is how many linked gateways make an own watch needless: with two, one
+	// that is cut off from the store hides no change.
 	coveringLinks = 2
 )
 
--- a/controller/demand.go
+++ b/controller/demand.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// demandHalfLife is the time in which the memory of past demand halves. Estimate
-	// with the first version (commit 0257e9b6), not measured here; the agents' rule
-	// was measured with 120 s at a tenth of the traffic (docs/design/placement.md).
+	// demandHalfLife is the time in which the memory of past demand halves. Estimate, not
+	// measured here; the agents' rule was measured with 120 s at a tenth of the traffic
+	// (docs/design/placement.md).
 	demandHalfLife = 15 * time.Second
 	// rememberedAdapters bounds the history of demand. Estimate, not measured: many
 	// times the slots of an engine.
--- a/controller/loadwindow.go
+++ b/controller/loadwindow.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// The steps of the window, additive both ways (commit 6bfa51a0: with it and the
-// counting of waiting prompts trouble-2 of the grown address deployment went from
-// 0.511 to 0.585). None was measured by itself.
+// The steps of the window, additive both ways (with it and the counting of waiting
+// prompts a day with trouble of the grown address deployment went from 0.511 to 0.585 of
+// worth). None was measured by itself.
 const (
 	// windowStep is what a load as fast as the fastest adds to the window, in loads.
 	windowStep = 0.5
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -11,14 +11,14 @@
 
 const (
 	// orderTimeout bounds one order. The engine is on the same box and answers within
-	// milliseconds; an order without answer holds up those behind it, for 400 ms with
-	// the bound before (commit 7c5253b2), and the next report shows what became of it.
+	// milliseconds; an order without answer holds up those behind it, and the next
+	// report shows what became of it.
 	orderTimeout = 80 * time.Millisecond
 	// conflictPause follows a failed order. Estimate, not measured: the report after
 	// it shows what stands.
 	conflictPause = 20 * time.Millisecond
 	// identifyPause follows a failed look at which instance answers. Estimate, not
-	// measured (commit 0dcc89c3).
+	// measured.
 	identifyPause = 500 * time.Millisecond
 )
 
--- a/controller/token.go
+++ b/controller/token.go
@@ -11,9 +11,9 @@
 const (
 	// tokenKeyPrefix is the prefix of the keys whose revision is a fencing token.
 	tokenKeyPrefix = "sandbarrow/token/"
-	// tokenTimeout bounds one write for a token, tokenPause is the pause after a
-	// failed one. Set with the recovery after a loss of all power, when a store that
-	// does not answer took up to 2 s a call (commit 33ce94c1).
+	// tokenTimeout bounds one write for a token, tokenPause is the pause after a failed
+	// one. Set with the recovery after a loss of all power, when a store that does not
+	// answer took up to 2 s a call.
 	tokenTimeout = 700 * time.Millisecond
 	tokenPause   = 150 * time.Millisecond
 )
--- a/enginelink/messages.go
+++ b/enginelink/messages.go
@@ -48,9 +48,9 @@
 	// HeartbeatTimeout is how long no status may arrive before a controller counts
 	// as unreachable.
 	HeartbeatTimeout = 3 * Heartbeat
-	// LoadPatience is how much longer than its wait a request stays with an engine
-	// that is loading its adapter already: several loads under contention. Estimate
-	// with commit 25aca277, not measured by itself.
+	// LoadPatience is how much longer than its wait a request stays with an engine that is
+	// loading its adapter already: several loads under contention. Estimate, not measured
+	// by itself.
 	LoadPatience = 2 * time.Second
 )
 
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -23,8 +23,8 @@
 	// unackedTimeout ends a connection whose bytes the peer does not confirm. Estimate,
 	// not measured.
 	unackedTimeout = 2 * time.Second
-	// keptIdle bounds how long a connection is idle when the upstream names no time;
-	// one that was closed meanwhile is seen before its next use (commit 3cfdff41).
+	// keptIdle bounds how long a connection is idle when the upstream names no time; one
+	// that was closed meanwhile is seen before its next use.
 	keptIdle = 60 * time.Second
 	// idleMargin ends an idle connection before the upstream does: more than a round
 	// trip. Estimate, not measured.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -102,9 +102,9 @@
 	return true
 }
 
-// viewWait bounds the wait of a request for the gateway's first configuration and
-// list of upstreams after a start. Chosen with the recovery of all gateways at
-// once (commit 7c974e27), not measured by itself.
+// viewWait bounds the wait of a request for the gateway's first configuration and list
+// of upstreams after a start. Chosen with the recovery of all gateways at once, not
+// measured by itself.
 const viewWait = 250 * time.Millisecond
 
 // awaitView returns the operators' state; right after a start it waits for it, for
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -75,8 +75,8 @@
 	return best, true
 }
 
-// noObjective stands in where a route names no objective: longer than any request
-// is held, short enough to be added to a time (commit 96635451).
+// noObjective stands in where a route names no objective: longer than any request is
+// held, short enough to be added to a time.
 const noObjective = time.Hour
 
 // untilObjective is the part of the objective that is left for an answer.
--- a/gateway/demand.go
+++ b/gateway/demand.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// demandHalfLife is the time in which the memory of requests halves: short, since
-	// it must follow the recovery after a loss of power (commit 2c66c6bd).
+	// demandHalfLife is the time in which the memory of requests halves: short, since it
+	// must follow the recovery after a loss of power.
 	demandHalfLife = 2 * time.Second
 	// demandKept bounds the adapters whose demand is known. Estimate, not measured.
 	demandKept = 2048
--- a/gateway/enginecost.go
+++ b/gateway/enginecost.go
@@ -11,16 +11,16 @@
 // of prices in the same unit. It holds the constants of the choice and the pure
 // functions that use them; choose.go compares the costs.
 
-// Measured properties of the engines and of the weight store, as time. They are
-// those of the users' four deployments; engines of another kind need others.
+// Measured properties of the engines and of the weight store, as time, on the users'
+// deployments. How fast an engine reads is learnt (package readspeed), not here.
 const (
 	// runningDelay is what each running request slows another (the same logs).
 	runningDelay = 3 * time.Millisecond
-	// loadDelay is the time to load an adapter from the weight store while few loads
-	// are under way: 0.26 s up to freeLoads at once (commit cd83ede9).
+	// loadDelay is the time to load an adapter from the weight store while few loads are
+	// under way: 0.26 s up to freeLoads at once.
 	loadDelay = 270 * time.Millisecond
-	// freeLoads is how many loads the weight store carries at once before each takes
-	// longer (commit cd83ede9: 1.3 s at the median beyond).
+	// freeLoads is how many loads the weight store carries at once before each takes longer
+	// (1.3 s at the median beyond).
 	freeLoads = 8
 	// recallDelay is the time to load an adapter from the engine's own memory: 0.03 s
 	// (docs/design/platform.md), with the order.
@@ -28,40 +28,39 @@
 	// replaceDelay is the time until the runs on an older version have ended.
 	// Estimate, not measured.
 	replaceDelay = 900 * time.Millisecond
-	// slotDelay is the time until one slot comes free. Estimate, not measured by
-	// itself (commit 25aca277).
+	// slotDelay is the time until one slot comes free. Estimate, not measured by itself.
 	slotDelay = 600 * time.Millisecond
 )
 
 // Prices: what a choice costs others or the operators, as the delay that is worth
 // as much.
 const (
-	// copyDelay is the price of another copy of an adapter that another engine has:
-	// its slot and its share of the weight store. 1351 copies of 540 adapters became
-	// 793 of 598 on scale-1 of the registre deployment (commits cd83ede9, 25aca277).
+	// copyDelay is the price of another copy of an adapter that another engine has: its
+	// slot and its share of the weight store. 1351 copies of 540 adapters became 793 of 598
+	// on a day with trouble of the registre deployment.
 	copyDelay = 500 * time.Millisecond
-	// mostContention bounds how much contention at the weight store raises copyDelay:
-	// an engine that has many requests behind it needs a copy all the same. Without
-	// a bound 134 streams were given up after a loss of power (commit 2c9c43f1).
+	// mostContention bounds how much contention at the weight store raises copyDelay: an
+	// engine that has many requests behind it needs a copy all the same. Without a bound
+	// 134 streams were given up after a loss of power.
 	mostContention = 2
-	// copyUses is how many recent requests for each copy make another copy worth its
-	// price; beyond, the price falls (commit 2c66c6bd: 0.600 to 0.610 on trouble-2 of
-	// the grown address deployment).
+	// copyUses is how many recent requests for each copy make another copy worth its price;
+	// beyond, the price falls (worth 0.600 to 0.610 on a day with trouble of the grown
+	// address deployment).
 	copyUses = 4
-	// lateDelay is the price of an answer that is expected to miss its objective: as
-	// much as it loses (commit 25aca277).
+	// lateDelay is the price of an answer that is expected to miss its objective: as much
+	// as it loses.
 	lateDelay = 900 * time.Millisecond
-	// lateShare is the share of the objective that an expected answer may take. The
-	// rest is for what the estimate leaves out (commit 25aca277).
+	// lateShare is the share of the objective that an expected answer may take. The rest is
+	// for what the estimate leaves out.
 	lateShare = 0.85
-	// rankDelay keeps adapters on the first engines of their ranking, so that
-	// gateways that know as little place them alike: 0.81 against 0.79 on quiet-1
-	// for the least used engine (commit a34c6064). It is for each place.
+	// rankDelay keeps adapters on the first engines of their ranking, so that gateways that
+	// know as little place them alike: 0.81 against 0.79 on a calm day for the least used
+	// engine. It is for each place.
 	rankDelay = 25 * time.Millisecond
-	// connectDelay is the price of a new connection (commit 218327f3).
+	// connectDelay is the price of a new connection.
 	connectDelay = 25 * time.Millisecond
-	// domainDelay is the price of another failure domain: 4 ms on the way, and bytes
-	// of a stream that are worth 11 ms at the users' prices (commit 3c9a9680).
+	// domainDelay is the price of another failure domain: 4 ms on the way, and bytes of a
+	// stream that are worth 11 ms at the users' prices.
 	domainDelay = 12 * time.Millisecond
 	// blindDelay is the price of not knowing what an engine does whose controller is
 	// not linked. Estimate, not measured.
@@ -71,8 +70,8 @@
 	blindRunningFactor = 3
 )
 
-// spareLeast is how many more prompt tokens may always wait at a chosen engine than
-// were known: another choice takes its time too (commit 6bfa51a0).
+// spareLeast is how many more prompt tokens may always wait at a chosen engine than were
+// known: another choice takes its time too.
 const spareLeast = 1500
 
 // fleetSurvey is what a choice knows of all candidates together.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,12 +42,11 @@
 	// estateWait is the longest wait of one watch of the operators' state. Estimate,
 	// not measured: each call has its price, and a lost one is noticed after it.
 	estateWait = 3 * time.Second
-	// startTime is how long after a start upstreams may not be listed yet: longer
-	// than an upstream needs to list itself again after a loss of all power (commit
-	// 33ce94c1).
+	// startTime is how long after a start upstreams may not be listed yet: longer than an
+	// upstream needs to list itself again after a loss of all power.
 	startTime = 4 * time.Second
-	// listingTime is how long after a new upstream others are likely to follow
-	// (commit 218327f3: calls to the store after a start).
+	// listingTime is how long after a new upstream others are likely to follow (calls to
+	// the store after a start).
 	listingTime = 700 * time.Millisecond
 	// headerTimeout bounds the arrival of a request's head. Estimate, not measured.
 	headerTimeout = 5 * time.Second
--- a/gateway/health.go
+++ b/gateway/health.go
@@ -8,8 +8,8 @@
 	"sandbarrow.example/sandbarrow/internal/decay"
 )
 
-// The weights of failures in the choice of an upstream. All are estimates with the
-// first version (commit 0257e9b6), not measured by themselves.
+// The weights of failures in the choice of an upstream. All are estimates, not measured
+// by themselves.
 const (
 	// failureHalfLife is the time in which the memory of failures halves: an upstream
 	// that failed is tried again within seconds.
--- a/gateway/listwatch.go
+++ b/gateway/listwatch.go
@@ -15,10 +15,10 @@
 	// listWait bounds one watch of the list of upstreams, whose heartbeats change it
 	// all the time. Estimate, not measured.
 	listWait = 3 * time.Second
-	// listShare is the part of the bound for draining upstreams (setting leave_bound)
-	// after which the list is read again. What another gateway has read may be as old
-	// when it arrives: twice this part stays within the bound (commit c1a3d0d3: a
-	// third of all calls to the store before).
+	// listShare is the part of the bound for draining upstreams (setting leave_bound) after
+	// which the list is read again. What another gateway has read may be as old when it
+	// arrives: twice this part stays within the bound. Were each gateway to read the list itself,
+	// that would be a third of all calls to the store.
 	listShare = 0.4
 )
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -15,11 +15,11 @@
 )
 
 const (
-	// peerPause is the pause between two rounds of asking peers at a start. Estimate,
-	// not measured (commit 0bd78840).
+	// peerPause is the pause between two rounds of asking peers at a start. Estimate, not
+	// measured.
 	peerPause = 200 * time.Millisecond
-	// listTimeout is how long the list may stay unconfirmed before peers are asked:
-	// longer than three reads of the list (incident inc-5b36, commit 2dbd3817).
+	// listTimeout is how long the list may stay unconfirmed before peers are asked: longer
+	// than three reads of the list.
 	listTimeout = 2500 * time.Millisecond
 	// stalePause is the pause between two rounds while the list is unconfirmed.
 	// Estimate, not measured.
--- a/gateway/priority.go
+++ b/gateway/priority.go
@@ -6,9 +6,9 @@
 const lowestPriority = 9
 
 // tightSlack is the slack below which a request goes before others of its route.
-// Estimate, not measured by itself: the prompts before it at a busy engine take some
-// 0.3 to 0.4 s (commit 7975ab05; trouble-2 and scale-1 of the grown address deployment
-// 0.610 to 0.609 and 0.742 to 0.753).
+// Estimate, not measured by itself: the prompts before it at a busy engine take some 0.3
+// to 0.4 s (worth 0.610 to 0.609 and 0.742 to 0.753 on two days with trouble of the grown
+// address deployment).
 const tightSlack = 450 * time.Millisecond
 
 // urgency orders the requests of one priority of the operators' routes by what
--- a/gateway/progress.go
+++ b/gateway/progress.go
@@ -10,10 +10,9 @@
 	"sandbarrow.example/sandbarrow/readspeed"
 )
 
-// How long a stream may make no progress before it is continued at another engine.
-// All are estimates with the first version (commit 0257e9b6); firstGap grew by the
-// prompts ahead after an incident in which streams that waited behind 5 s of
-// prompts were given up and read again elsewhere (commit 2c9c43f1).
+// How long a stream may make no progress before it is continued at another engine. All
+// are estimates; firstGap grows by the prompts ahead, since streams that waited behind
+// 5 s of prompts would be given up and read again elsewhere.
 const (
 	// progressPause is the pause between two looks at a stream's progress.
 	progressPause = 250 * time.Millisecond
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -16,14 +16,13 @@
 
 const (
 	// maxAcquires is at how many engines an adapter is asked for. Three waits of
-	// acquireWaits use up the timeout of the routes seen; set with commit 7c974e27,
-	// not measured by itself.
+	// acquireWaits use up the timeout of the routes seen. Estimate, not measured by itself.
 	maxAcquires = 3
-	// maxBusy is how often a choice is repeated because more prompts wait at the
-	// engine than was known; after that the choice stands (commit 6bfa51a0).
+	// maxBusy is how often a choice is repeated because more prompts wait at the engine
+	// than was known; after that the choice stands.
 	maxBusy = 2
-	// enginesWait bounds the wait for any engine, as after a loss of all power
-	// (commit 33ce94c1, worth of scale-2).
+	// enginesWait bounds the wait for any engine, as after a loss of all power.
+	// Estimate, not measured by itself.
 	enginesWait = 1200 * time.Millisecond
 	// lookPause is the pause between two looks at what is awaited. Estimate, not
 	// measured: short against enginesWait and viewWait.
@@ -32,9 +31,9 @@
 	streamMediaType = "text/event-stream"
 )
 
-// acquireWaits bound the wait for a slot at the first, second and third engine.
-// The first is short so that another engine can still be in time; the last may use
-// what is left (commit 25aca277, quiet-1: waits of seconds at one engine).
+// acquireWaits bound the wait for a slot at the first, second and third engine. The
+// first is short so that another engine can still be in time; the last may use what is
+// left (otherwise requests of a calm day waited for seconds at one engine).
 var acquireWaits = [maxAcquires]time.Duration{500 * time.Millisecond, 800 * time.Millisecond, 2 * time.Second}
 
 // refuseNoAnswer stands in logs for a controller that did not answer.
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -9,15 +9,14 @@
 // The times of a planned stop, counted from the signal. Together they fit into the
 // grace of the settings (8 s by default).
 const (
-	// DefaultAcceptAfterStop is how long a stopping gateway accepts new connections,
-	// until the balancer has surely seen that it is not ready: the balancer's check
-	// takes up to 2.5 s (commit cec8d983).
+	// DefaultAcceptAfterStop is how long a stopping gateway accepts new connections, until
+	// the balancer has surely seen that it is not ready: the balancer's check takes up to
+	// 2.5 s.
 	DefaultAcceptAfterStop = 2600 * time.Millisecond
 	// refuseAfterStop is when a stopping gateway accepts no more streams, which might
 	// not end before it does: right after new connections end. Estimate, not measured.
 	refuseAfterStop = 2800 * time.Millisecond
-	// stopMargin ends a planned stop before the platform kills the process (commit
-	// 6bfa51a0).
+	// stopMargin ends a planned stop before the platform kills the process.
 	stopMargin = 500 * time.Millisecond
 )
 
--- a/placement/affinity.go
+++ b/placement/affinity.go
@@ -11,7 +11,7 @@
 	// it only decides between equals. Estimate, not measured.
 	rankPenalty = 0.02
 	// packing is what an empty batch costs at full batch weight, in seconds. Set by the
-	// replay's BenchmarkBatchWeight (commit ea3775f; docs/design/placement.md).
+	// replay's BenchmarkBatchWeight (docs/design/placement.md).
 	packing = 2.0
 	// assumedLoad and assumedService stand in until an upstream reports them, in
 	// seconds. Estimates: a load took 1 s at both estates of the replay.
--- a/prefixwatch/prefixwatch.go
+++ b/prefixwatch/prefixwatch.go
@@ -19,15 +19,13 @@
 const (
 	// slack is how much longer than its wait a watch may take. Estimate, not measured.
 	slack = 1500 * time.Millisecond
-	// readTimeout bounds a read of all of the prefix. Set with the recovery after a
-	// loss of all power, when calls to a store that did not answer took up to 2 s
-	// (commit 33ce94c1).
+	// readTimeout bounds a read of all of the prefix. Set with the recovery after a loss of
+	// all power, when calls to a store that did not answer took up to 2 s.
 	readTimeout = 900 * time.Millisecond
-	// expectingPace is the shortest time between two watches while Expecting says so (commit
-	// 33ce94c1).
+	// expectingPace is the shortest time between two watches while Expecting says so.
 	expectingPace = 150 * time.Millisecond
-	// paceSpread: the pace is shortened at random by up to one of so many parts
-	// (commit c1a3d0d3). Estimate, not measured by itself.
+	// paceSpread: the pace is shortened at random by up to one of so many parts. Estimate,
+	// not measured by itself.
 	paceSpread = 3
 	// coveredPause is the pause between two looks whether a watch is still covered.
 	// Estimate, not measured.
--- a/recall/memory.go
+++ b/recall/memory.go
@@ -9,8 +9,8 @@
 	"sandbarrow.example/sandbarrow"
 )
 
-// remembered is how many adapters an engine's own memory is expected to keep beside
-// its slots. Estimate from loads that were fast (commit cd83ede9), not measured.
+// remembered is how many adapters an engine's own memory is expected to keep beside its
+// slots. Estimate from loads that were fast, not measured.
 const remembered = 30
 
 // Memory is the order in which adapters were last seen in an engine's slots.
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -13,19 +13,19 @@
 	// measured by itself.
 	batchTarget = 4
 	// defaultLoad, defaultPace and defaultService are assumed until measured. Pace and
-	// service are assumed fast: a cold start must not refuse a burst before anything
-	// was measured (commit 4ca464a).
+	// service are assumed fast: a cold start must not refuse a burst before anything was
+	// measured.
 	defaultLoad    = time.Second
 	defaultPace    = 100 * time.Millisecond
 	defaultService = 100 * time.Millisecond
-	// groupBonus is what each further ticket of a group is worth when loads are
-	// ordered: one load serves them all (docs/design/loads.md, commit 1c7d2a7).
+	// groupBonus is what each further ticket of a group is worth when loads are ordered:
+	// one load serves them all (docs/design/loads.md).
 	groupBonus = time.Second
 	// loadRetryPause is the pause after a failed load of an adapter. Estimate, not
 	// measured.
 	loadRetryPause = 2 * time.Second
-	// drainAfter is how long a group waits for an idle adapter to make place before a
-	// busy one is drained for it (docs/design/loads.md, commit 7db70c8).
+	// drainAfter is how long a group waits for an idle adapter to make place before a busy
+	// one is drained for it (docs/design/loads.md).
 	drainAfter = time.Second
 	// loadSmoothing and serviceSmoothing are the weights of a new measurement, from 0
 	// to 1. Estimates, not measured.
