--- a/controller/metrics.go
+++ b/controller/metrics.go
@@ -9,13 +9,19 @@
 
 // metrics are the controller's figures.
 type metrics struct {
-	loads    prometheus.Histogram
-	orders   *prometheus.CounterVec
-	refusals *prometheus.CounterVec
+	answerBase    prometheus.Gauge
+	loads         prometheus.Histogram
+	orders        *prometheus.CounterVec
+	readPerToken  prometheus.Gauge
+	refusals      *prometheus.CounterVec
+	tokensWaiting prometheus.Gauge
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
 	m := &metrics{
+		answerBase: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "sandbarrow_controller_answer_base_seconds", Help: "Estimated time to an answer's first event beside reading the prompt.",
+		}),
 		loads: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "sandbarrow_controller_load_seconds", Help: "Time from the order to the loaded adapter.",
 			Buckets: []float64{0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3},
@@ -23,11 +29,17 @@
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sandbarrow_controller_orders_total", Help: "Orders to the engine, by operation and outcome.",
 		}, []string{"operation", "outcome"}),
+		readPerToken: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "sandbarrow_controller_read_seconds_per_token", Help: "Estimated time for the engine to read one prompt token.",
+		}),
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sandbarrow_controller_refusals_total", Help: "Refused uses of an adapter, by reason.",
 		}, []string{"reason"}),
+		tokensWaiting: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "sandbarrow_controller_waiting_tokens", Help: "Prompt tokens that the engine has yet to read.",
+		}),
 	}
-	r.MustRegister(m.loads, m.orders, m.refusals)
+	r.MustRegister(m.answerBase, m.loads, m.orders, m.readPerToken, m.refusals, m.tokensWaiting)
 	return m
 }
 
@@ -39,6 +51,13 @@
 	m.orders.WithLabelValues(operation, outcome).Inc()
 }
 
+// published shows what a status says of the engine's speed and queue.
+func (m *metrics) published(s *enginelink.Status) {
+	m.answerBase.Set(s.Speed.Base.Seconds())
+	m.readPerToken.Set(s.Speed.PerToken.Seconds())
+	m.tokensWaiting.Set(float64(s.WaitingTokens))
+}
+
 func (m *metrics) refused(r enginelink.RefuseReason) {
 	m.refusals.WithLabelValues(string(r)).Inc()
 }
--- a/controller/publisher.go
+++ b/controller/publisher.go
@@ -110,7 +110,9 @@
 func (c *Controller) publishNow() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.published.apply(c.now(), c.status()) {
+	status := c.status()
+	if c.published.apply(c.now(), status) {
+		c.metrics.published(&status)
 		for l := range c.links {
 			l.notifyStatus()
 		}
