Send gateways less about engines: speed when it moved, long shared prompts alone

Change: the speed is part of the full status, which follows when it has moved by 8 of 100; counts by priority leave out zeros, and all where nothing waits; a prompt whose shared parts have fewer than 1,000 tokens is not followed.

The bound of TestStatusSurvivesTheWire on a brief status stays 100 bytes; it found that the speed was not left out.

--- a/controller/publisher.go
+++ b/controller/publisher.go
@@ -54,7 +54,7 @@
 	if p.holds > 0 && now.Sub(p.at) < enginelink.Heartbeat-publishPause && reflect.DeepEqual(s, p.last) {
 		return false
 	}
-	if p.holds == 0 || !slices.Equal(s.Slots, p.last.Slots) || !slices.Equal(s.Models, p.last.Models) {
+	if p.holds == 0 || !slices.Equal(s.Slots, p.last.Slots) || !slices.Equal(s.Models, p.last.Models) || s.Speed != p.last.Speed {
 		p.holds++
 	}
 	p.at, p.last = now, s
--- a/controller/reading.go
+++ b/controller/reading.go
@@ -13,6 +13,8 @@
 // them. It is not safe for concurrent use: the controller's mu guards it.
 type reading struct {
 	speed readspeed.Estimator
+	// published is the speed that gateways were told last.
+	published readspeed.Speed
 	// read counts the prompt tokens of all requests whose answer has begun.
 	read int
 	// unread are the granted pins whose answer has not begun, the oldest first.
@@ -52,6 +54,23 @@
 	return true
 }
 
+// speedStep is by how much the speed must change before gateways are told, as a share:
+// a choice does not turn on less, and each change is a long message to each gateway.
+// Estimate, not measured.
+const speedStep = 0.08
+
+// publishedSpeed is the speed that gateways are told: the last one until the estimate
+// has moved by speedStep.
+func (r *reading) publishedSpeed() readspeed.Speed {
+	const tokens = 3000 // of a prompt of middling length
+	now, last := r.speed.Speed(), r.published
+	change := float64(now.Read(tokens)-last.Read(tokens)) / float64(now.Read(tokens))
+	if change > speedStep || change < -speedStep {
+		r.published = now
+	}
+	return r.published
+}
+
 // waiting counts the prompts that the engine has yet to read.
 func (r *reading) waiting() enginelink.Waiting {
 	var w enginelink.Waiting
--- a/enginelink/messages.go
+++ b/enginelink/messages.go
@@ -176,14 +176,14 @@
 
 // Brief is the status without what a reader has from the last one.
 func (s Status) Brief() Status {
-	s.Models, s.Slots, s.Same = nil, nil, true
+	s.Models, s.Slots, s.Speed, s.Same = nil, nil, readspeed.Speed{}, true
 	return s
 }
 
 // Expand undoes Compact, and Brief with the help of the last status.
 func (s *Status) Expand(last *Status) {
 	if s.Same {
-		s.Models, s.Slots, s.Same = last.Models, last.Slots, false
+		s.Models, s.Slots, s.Speed, s.Same = last.Models, last.Slots, last.Speed, false
 		return
 	}
 	for i := range s.Slots {
@@ -207,14 +207,14 @@
 	Models   []sandbarrow.BaseModelID `json:"m,omitempty"`
 	// Running counts granted pins.
 	Running int `json:"r"`
-	// Same says that Models and Slots are those of the last status on this link,
+	// Same says that Models, Slots and Speed are those of the last status on this link,
 	// and left out.
 	Same bool `json:"k,omitempty"`
 	// EngineUnreachable says that the engine does not answer.
 	EngineUnreachable bool         `json:"silent,omitempty"`
 	Slots             []SlotStatus `json:"s,omitempty"`
 	// Speed is how fast the engine reads prompts, as estimated from its answers.
-	Speed readspeed.Speed         `json:"p"`
+	Speed readspeed.Speed         `json:"p,omitzero"`
 	Token sandbarrow.FencingToken `json:"t"`
 	// WaitingTokens are the prompts whose answer has not begun, those that wait
 	// for their adapter among them.
--- a/enginelink/messages_test.go
+++ b/enginelink/messages_test.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/readspeed"
 )
 
 func TestStatusSurvivesTheWire(t *testing.T) {
@@ -14,9 +16,9 @@
 		{Adapter: "a", Model: "base", State: SlotLoaded, Version: 3},
 		{Adapter: "b", Model: "other", State: SlotLoading, Version: 1},
 	}
-	first := Status{Free: 1, Instance: "i", Models: []sandbarrow.BaseModelID{"base"}, Running: 2, Slots: held}
+	first := Status{Free: 1, Instance: "i", Models: []sandbarrow.BaseModelID{"base"}, Running: 2, Slots: held, Speed: readspeed.Speed{Base: time.Millisecond, PerToken: time.Microsecond}}
 	second := first
-	second.Running, second.WaitingTokens = 3, 500
+	second.Running, second.WaitingTokens, second.WaitingByPriority = 3, 500, &Waiting{100, 400}
 	var last Status
 	for name, tc := range map[string]struct {
 		sent  Status
--- a/enginelink/waiting.go
+++ b/enginelink/waiting.go
@@ -1,5 +1,7 @@
 package enginelink
 
+import "encoding/json"
+
 // waitingLevels is how many priorities of routes are told apart; the last level holds
 // all lower ones. The users' routes have three.
 const waitingLevels = 4
@@ -14,6 +16,15 @@
 // their routes: engines read the more urgent first.
 type Waiting [waitingLevels]int
 
+// MarshalJSON leaves out the zeros at the end: most of what a link carries are statuses.
+func (w Waiting) MarshalJSON() ([]byte, error) {
+	levels := w[:]
+	for len(levels) > 0 && levels[len(levels)-1] == 0 {
+		levels = levels[:len(levels)-1]
+	}
+	return json.Marshal(levels)
+}
+
 // Add counts the tokens of a request of a priority, or no longer where they are
 // negative.
 func (w *Waiting) Add(priority, tokens int) {
--- a/promptcache/promptcache.go
+++ b/promptcache/promptcache.go
@@ -29,9 +29,17 @@
 	Tokens int `json:"t"`
 }
 
+// leastShared is the least length of the shared parts of a prompt at which it is worth
+// being followed, in tokens: reading less takes some 50 ms at most, and each prompt that
+// is followed is told to all gateways. With all of them followed, prompts that share 570
+// tokens gained nothing, and 0.05 GB more went between failure domains on a day of 29
+// gateways and 52 engines (0.13 without).
+const leastShared = 1000
+
 // Stretches returns the stretches of a prompt, the shortest first, from its list of
-// parts: ID:TOKENS, separated by commas. What is malformed ends the list: a request is
-// served without an estimate.
+// parts: ID:TOKENS, separated by commas. It returns none where the shared parts are too
+// short to matter. What is malformed ends the list: a request is served without an
+// estimate.
 func Stretches(k sandbarrow.AdapterKey, v sandbarrow.AdapterVersion, parts string) []Stretch {
 	if parts == "" {
 		return nil
@@ -47,12 +55,15 @@
 		id, text, _ := strings.Cut(strings.TrimSpace(part), ":")
 		tokens, err := strconv.Atoi(text)
 		if err != nil || tokens < 0 {
-			return list
+			break
 		}
 		_, _ = digest.WriteString("," + id)
 		length += tokens
 		list = append(list, Stretch{Prefix: Prefix(digest.Sum64()), Tokens: length})
 	}
+	if len(list) < 2 || list[len(list)-2].Tokens < leastShared {
+		return nil
+	}
 	list[len(list)-1].Own = true
 	return list
 }
