Leave out the noise of estimates where engines are alike

Hypothesis: each engine's speed follows its last dozen answers, so that engines that are alike differ by some 10 of 100, which is more than the price of another failure domain.

Change: the choice takes the part of a speed's difference to the mean that is within 15 of 100 for noise.

Tests: TestToward, TestTypical.

--- a/gateway/enginecost.go
+++ b/gateway/enginecost.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/readspeed"
 )
 
 // This file is the cost of an engine for a request: one sum of expected delays and
@@ -80,6 +81,8 @@
 	copyDelay time.Duration
 	// loadDelay is the time of a load with those under way now.
 	loadDelay time.Duration
+	// speed is that of a typical engine.
+	speed readspeed.Speed
 	// source is where most of the prompt is kept.
 	source keptSource
 }
@@ -100,10 +103,21 @@
 		}
 	}
 	f := surveyOf(copies, loading, n.demand)
-	f.source = sourceOf(list, n.movePerToken)
+	f.source, f.speed = sourceOf(list, n.movePerToken), typicalSpeed(list)
 	return f
 }
 
+// typicalSpeed is the mean speed of the engines whose controllers are linked.
+func typicalSpeed(list []candidate) readspeed.Speed {
+	return readspeed.Typical(func(yield func(readspeed.Speed) bool) {
+		for i := range list {
+			if list[i].linked && !yield(list[i].speed()) {
+				return
+			}
+		}
+	})
+}
+
 // surveyOf prices a load and a copy.
 //
 // Inputs: the engines that hold the adapter or can recall it, the loads under way
@@ -132,7 +146,7 @@
 // appraise adds to the cost what the engine costs for the request; false means that
 // it can't serve it. Before, cost holds the penalty for recent failures.
 func (e *candidate) appraise(n *need, f *fleetSurvey) bool {
-	speed := e.speed()
+	speed := e.speed().Toward(f.speed)
 	move := e.considerMove(&f.source)
 	read := move + speed.Read(e.unread(n.tokens))
 	e.cost += read
