Remove the ranking of engines, the price of connections and that of copies by demand

Hypothesis (ablation): three mechanisms of the choice are worth nothing any more.

Change: all three go, with what served them alone: the demand of adapters at gateways, the affinity of a request, a pool's look for an idle connection.

Why it is safe: each moved costs alone, none a rule.

--- a/forward/pool.go
+++ b/forward/pool.go
@@ -71,14 +71,6 @@
 	p.idle = nil
 }
 
-// HasIdle reports whether an idle connection can carry the next request.
-func (p *Pool) HasIdle(now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := len(p.idle)
-	return n > 0 && now.Before(p.idle[n-1].expires)
-}
-
 // get returns the connection that was used last and is still good, or a new one.
 func (p *Pool) get(ctx context.Context) (*conn, error) {
 	for {
--- a/gateway/callerrequest.go
+++ b/gateway/callerrequest.go
@@ -46,18 +46,12 @@
 	// callerEnds is when the caller stops waiting, ends when the call does.
 	callerEnds, ends time.Time
 
-	// affinity is what engines are ranked by: model and adapter, or model and the
-	// first part of the prompt.
-	affinity string
-	key      sandbarrow.AdapterKey
+	key sandbarrow.AdapterKey
 	// stretches are those of the prompt, for the version of the last choice.
 	stretches []promptcache.Stretch
 	// tokens is the length of the prompt; 0 where the caller names none.
 	tokens  int
 	version sandbarrow.AdapterVersion
-	// demand estimates the recent requests for the adapter at all gateways, this
-	// one among them.
-	demand float64
 }
 
 // prepare reads the request and checks it. On a fault it answers and returns false.
@@ -129,11 +123,6 @@
 	c.key = sandbarrow.AdapterKey{Adapter: sandbarrow.AdapterID(adapter), Model: sandbarrow.BaseModelID(model)}
 	c.version = c.view.Version(c.key)
 	c.tokens = c.readTokens(c.request.Header.Get(names.Tokens))
-	c.affinity = model + "/" + adapter
-	if adapter == "" {
-		first, _, _ := strings.Cut(c.request.Header.Get(names.Prompt), ",")
-		c.affinity += "/" + first
-	}
 	c.lastEvent = c.request.Header.Get(names.LastEvent)
 }
 
--- a/gateway/candidate.go
+++ b/gateway/candidate.go
@@ -5,11 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
-	"sandbarrow.example/sandbarrow/internal/splitmix"
 	"sandbarrow.example/sandbarrow/readspeed"
 )
 
@@ -19,14 +16,10 @@
 	instance *sandbarrow.Instance
 	link     *controllerLink
 	linkView
-	// connected says that an idle connection can carry the request.
-	connected bool
 	// remote says that the engine is in another failure domain.
 	remote bool
 	// inFlight counts this gateway's requests there.
 	inFlight int
-	// rank is the engine's place in the adapter's own ranking of all engines, from 0.
-	rank float64
 
 	// held says that the engine has what the request needs, or loads it.
 	held bool
@@ -51,7 +44,6 @@
 // eligible appends the engines that accept new work to list, as they are now.
 func (g *Gateway) eligible(c *call, now time.Time, excluded map[sandbarrow.InstanceID]bool, list []candidate) []candidate {
 	members := g.engines.members(c.service.ID)
-	affinity := xxhash.Sum64String(c.affinity)
 	for i := range members {
 		m := &members[i]
 		if m.instance.Draining || excluded[m.instance.ID] {
@@ -61,9 +53,7 @@
 		if e.linked && (e.status.Draining || e.status.EngineUnreachable) {
 			continue
 		}
-		e.connected = m.pool.HasIdle(now)
 		e.remote = m.instance.FailureDomain != g.config.Domain
-		e.rank = float64(splitmix.Finalize(affinity^m.hash)) / (1 << 64) * float64(len(members))
 		e.inFlight, e.cost = g.health.look(now, m.instance.ID)
 		list = append(list, e)
 	}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -13,8 +13,6 @@
 	version sandbarrow.AdapterVersion
 	// tokens is the length of the prompt.
 	tokens int
-	// demand estimates the recent requests for the adapter at all gateways.
-	demand float64
 	// movePerToken is the time to move one kept token between engines, 0 where that
 	// can't be done.
 	movePerToken time.Duration
@@ -30,7 +28,7 @@
 	now := time.Now()
 	list := g.eligible(c, now, excluded, (*scratch)[:0])
 	*scratch = list
-	n := need{key: c.key, version: c.version, tokens: c.tokens, demand: c.demand, movePerToken: c.service.Engine.MovePerToken, untilObjective: c.untilObjective(now)}
+	n := need{key: c.key, version: c.version, tokens: c.tokens, movePerToken: c.service.Engine.MovePerToken, untilObjective: c.untilObjective(now)}
 	best, ok := cheapest(list, &n)
 	if !ok {
 		return nil
--- a/gateway/enginecost.go
+++ b/gateway/enginecost.go
@@ -44,22 +44,12 @@
 	// engine that has many requests behind it needs a copy all the same. Without a bound
 	// 134 streams were given up after a loss of power.
 	mostContention = 2
-	// copyUses is how many recent requests for each copy make another copy worth its price;
-	// beyond, the price falls (worth 0.600 to 0.610 on a day with trouble of the grown
-	// address deployment).
-	copyUses = 4
 	// lateDelay is the price of an answer that is expected to miss its objective: as much
 	// as it loses.
 	lateDelay = 900 * time.Millisecond
 	// lateShare is the share of the objective that an expected answer may take. The rest is
 	// for what the estimate leaves out.
 	lateShare = 0.85
-	// rankDelay keeps adapters on the first engines of their ranking, so that gateways that
-	// know as little place them alike: 0.81 against 0.79 on a calm day for the least used
-	// engine. It is for each place.
-	rankDelay = 25 * time.Millisecond
-	// connectDelay is the price of a new connection.
-	connectDelay = 25 * time.Millisecond
 	// domainDelay is the price of another failure domain: 4 ms on the way, and bytes of a
 	// stream that are worth 11 ms at the users' prices.
 	domainDelay = 12 * time.Millisecond
@@ -102,32 +92,31 @@
 			loading += e.loadsUnderWay()
 		}
 	}
-	f := surveyOf(copies, loading, n.demand)
+	f := surveyOf(copies, loading)
 	f.source, f.speed = sourceOf(list, n.movePerToken), typicalSpeed(list)
 	return f
 }
 
 // typicalSpeed is the mean speed of the engines whose controllers are linked.
 func typicalSpeed(list []candidate) readspeed.Speed {
-	return readspeed.Typical(func(yield func(readspeed.Speed) bool) {
-		for i := range list {
-			if list[i].linked && !yield(list[i].speed()) {
-				return
-			}
+	var mean readspeed.Mean
+	for i := range list {
+		if list[i].linked {
+			mean.Add(list[i].speed())
 		}
-	})
+	}
+	return mean.Speed()
 }
 
 // surveyOf prices a load and a copy.
 //
-// Inputs: the engines that hold the adapter or can recall it, the loads under way
-// at all engines that were seen, and the recent requests for the adapter.
-func surveyOf(copies, loading int, demand float64) fleetSurvey {
+// Inputs: the engines that hold the adapter or can recall it, and the loads under way
+// at all engines that were seen.
+func surveyOf(copies, loading int) fleetSurvey {
 	contending := time.Duration(max(freeLoads, loading+1))
 	f := fleetSurvey{loadDelay: loadDelay * contending / freeLoads}
 	if copies > 0 {
 		f.copyDelay = copyDelay * min(contending, mostContention*freeLoads) / freeLoads
-		f.copyDelay = time.Duration(float64(f.copyDelay) / max(1, demand/float64(copies)/copyUses))
 	}
 	return f
 }
@@ -153,9 +142,6 @@
 	if e.remote {
 		e.cost += domainDelay
 	}
-	if !e.connected {
-		e.cost += connectDelay
-	}
 	if !e.linked {
 		// Without its controller nothing can be loaded.
 		e.cost += blindDelay + time.Duration(e.inFlight)*blindRunningFactor*runningDelay
@@ -171,9 +157,6 @@
 		e.cost += lateDelay
 		e.late = true
 	}
-	if !e.held || n.key.Adapter == "" {
-		e.cost += time.Duration(e.rank * float64(rankDelay))
-	}
 	if !e.held && !e.recallable {
 		e.cost += f.copyDelay
 	}
--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -9,11 +9,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/directory"
-	"sandbarrow.example/sandbarrow/forward"
 	"sandbarrow.example/sandbarrow/internal/pause"
 	"sandbarrow.example/sandbarrow/readspeed"
 )
@@ -49,11 +46,9 @@
 
 // member is one engine of a roster.
 type member struct {
-	hash     uint64
 	instance *sandbarrow.Instance
 	// link is nil until the engine's controller is dialled.
 	link *controllerLink
-	pool *forward.Pool
 }
 
 func newEngines(g *Gateway) *engines {
@@ -90,7 +85,7 @@
 func (e *engines) newRoster(list *directory.View) *roster {
 	f := &roster{byService: map[sandbarrow.ServiceID][]member{}, list: list}
 	for _, in := range list.All() {
-		m := member{hash: xxhash.Sum64String(in.Address), instance: in, link: e.link(in.Address), pool: e.gateway.pool(in)}
+		m := member{instance: in, link: e.link(in.Address)}
 		f.byService[in.Service] = append(f.byService[in.Service], m)
 	}
 	return f
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,7 +85,6 @@
 // Gateway serves callers.
 type Gateway struct {
 	config    Config
-	demand    *demand
 	directory *directory.Directory
 	engines   *engines
 	estate    *estate.Estate
@@ -105,7 +104,6 @@
 	g := &Gateway{
 		budgets:   map[sandbarrow.ServiceID]*retry.Budget{},
 		config:    c,
-		demand:    newDemand(),
 		directory: directory.New(c.Instances, c.Logger),
 		estate:    estate.New(c.Documents, c.Logger),
 		health:    newHealth(),
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -55,7 +55,6 @@
 // answered or the request may not be sent again.
 func (c *call) serveEngine(ctx context.Context) {
 	s := engineSearch{excluded: map[sandbarrow.InstanceID]bool{}, why: reasonNoUpstream}
-	c.estimateDemand()
 	for ctx.Err() == nil && time.Until(c.ends) > leastSend && s.acquires < maxAcquires {
 		c.readVersion()
 		e := c.gateway.chooseEngine(c, s.excluded)
@@ -87,13 +86,6 @@
 	c.endSearch(ctx, s.why)
 }
 
-// estimateDemand counts the request and estimates how many there were recently at
-// all gateways, each of which sees a like share.
-func (c *call) estimateDemand() {
-	others := c.gateway.demand.note(c.began, c.key) - 1
-	c.demand = 1 + others*float64(max(1, c.gateway.engines.gateways()))
-}
-
 // awaitEngines waits a moment where no engine can serve the request, as right
 // after a start, and reports whether to look again.
 func (c *call) awaitEngines(ctx context.Context) bool {
--- a/readspeed/toward.go
+++ b/readspeed/toward.go
@@ -25,17 +25,23 @@
 	return typical
 }
 
-// Typical is the mean of speeds, or Prior of none.
-func Typical(speeds func(yield func(Speed) bool)) Speed {
-	var sum Speed
-	n := time.Duration(0)
-	for s := range speeds {
-		sum.Base += s.Base
-		sum.PerToken += s.PerToken
-		n++
-	}
-	if n == 0 {
+// Mean is the mean of speeds. Its zero value has none.
+type Mean struct {
+	count time.Duration
+	sum   Speed
+}
+
+// Add counts one more speed.
+func (m *Mean) Add(s Speed) {
+	m.count++
+	m.sum.Base += s.Base
+	m.sum.PerToken += s.PerToken
+}
+
+// Speed returns the mean, or Prior of none.
+func (m *Mean) Speed() Speed {
+	if m.count == 0 {
 		return Prior
 	}
-	return Speed{Base: sum.Base / n, PerToken: sum.PerToken / n}
+	return Speed{Base: m.sum.Base / m.count, PerToken: m.sum.PerToken / m.count}
 }
