--- a/internal/systest/system_test.go
+++ b/internal/systest/system_test.go
@@ -94,10 +94,20 @@
 	}
 }
 
-// field waits for a log message and returns one of its fields.
+// dumpTime is how long a process is given to write what its goroutines do.
+const dumpTime = 500 * time.Millisecond
+
+// field waits for a log message and returns one of its fields. Where it does not come,
+// the process is made to write what all its goroutines do into its log.
 func (p *process) field(t testing.TB, message, key string) string {
 	t.Helper()
 	var value string
+	defer func() {
+		if value == "" {
+			_ = p.cmd.Process.Signal(syscall.SIGQUIT) // one that has ended has written why
+			time.Sleep(dumpTime)
+		}
+	}()
 	await.Until(t, 10*time.Second, message, func() bool {
 		p.mu.Lock()
 		defer p.mu.Unlock()
