Let gateways that share what they read call the store less often each

Ruled out: one gateway that reads for all (needs agreement, stops with it). Waits are drawn at random.

--- a/gateway/listwatch.go
+++ b/gateway/listwatch.go
@@ -28,7 +28,7 @@
 func (g *Gateway) listWatch() *prefixwatch.Watch {
 	return &prefixwatch.Watch{
 		Age: g.directory.Age, Consumer: sharedList{g}, Expecting: g.awaitsUpstreams, Logger: g.logger, Mark: g.directory.Mark,
-		Pace: time.Duration(listShare * float64(g.config.LeaveBound)), Prefix: g.config.Instances.Prefix(), Store: g.config.Store, Wait: listWait,
+		Pace: time.Duration(listShare * float64(g.config.LeaveBound)), Prefix: g.config.Instances.Prefix(), Sharing: g.engines.gateways, Store: g.config.Store, Wait: listWait,
 	}
 }
 
--- a/prefixwatch/prefixwatch.go
+++ b/prefixwatch/prefixwatch.go
@@ -30,8 +30,8 @@
 	// coveredPause is the pause between two looks whether a watch is still covered.
 	// Estimate, not measured.
 	coveredPause = 500 * time.Millisecond
-	// firstPause and longestPause bound the backoff after a failure, which doubles.
-	// Estimates, not measured.
+	// firstPause and longestPause bound the backoff after a failure, which doubles; many
+	// processes pause for longer (sharedPause). Estimates, not measured.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 800 * time.Millisecond
 )
@@ -64,8 +64,11 @@
 	// costs few calls; changes in between arrive together.
 	Pace   time.Duration
 	Prefix string
-	Store  sandbarrow.PrefixStore
-	// Wait is the longest wait of one watch call.
+	// Sharing is how many processes follow the prefix and tell each other of each change,
+	// this one among them; nil is this one alone.
+	Sharing func() int
+	Store   sandbarrow.PrefixStore
+	// Wait is the longest wait of one watch call of a process alone.
 	Wait time.Duration
 }
 
@@ -99,7 +102,7 @@
 			}
 			up = false
 			pause.For(ctx, backoff/2+rand.N(backoff))
-			backoff = min(2*backoff, longestPause)
+			backoff = min(2*backoff, sharedPause(w.sharing()))
 			w.waitWhileFresh(ctx)
 		}
 		if known && w.Mark != nil {
@@ -132,6 +135,14 @@
 	}
 }
 
+// sharing is how many processes share what they read.
+func (w *Watch) sharing() int {
+	if w.Sharing == nil {
+		return 1
+	}
+	return w.Sharing()
+}
+
 func (w *Watch) pace() time.Duration {
 	if w.Expecting != nil && w.Expecting() {
 		return min(w.Pace, expectingPace)
@@ -149,9 +160,11 @@
 		}
 		return at, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, w.Wait+slack)
+	least, most := sharedWait(w.Wait, w.sharing())
+	wait := least + rand.N(most-least+1)
+	ctx, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
-	items, next, err := w.Store.WatchPrefix(ctx, w.Prefix, at, w.Wait)
+	items, next, err := w.Store.WatchPrefix(ctx, w.Prefix, at, wait)
 	if err == nil {
 		w.Consumer.Update(items, next)
 	}
--- a/prefixwatch/prefixwatch_test.go
+++ b/prefixwatch/prefixwatch_test.go
@@ -128,6 +128,32 @@
 	assert.Equal(t, v.get("q/a"), "")
 }
 
+// A process that shares the prefix with many others waits longer for changes, and so
+// calls the store less often, but sees a change at once all the same.
+func TestManyProcessesCallLess(t *testing.T) {
+	calls := func(processes int) int {
+		f := &faulty{Memory: store.NewMemory()}
+		v := &view{}
+		put(t, f, "p/a", "1")
+		w := Watch{Consumer: v, Logger: slog.New(slog.DiscardHandler), Prefix: "p/", Sharing: func() int { return processes }, Store: f, Wait: 20 * time.Millisecond}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- w.Run(ctx) }()
+		eventually(t, func() bool { return v.get("p/a") == "1" })
+		time.Sleep(1500 * time.Millisecond)
+		put(t, f, "p/a", "2")
+		eventually(t, func() bool { return v.get("p/a") == "2" })
+		cancel()
+		assert.NilError(t, <-done)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.calls
+	}
+	const needed = 2 // the first read, and the watch that the change ends
+	alone, many := calls(1)-needed, calls(100)-needed
+	assert.Assert(t, alone > 2*many, "%d calls alone, %d of one of many", alone, many)
+}
+
 // What changes during an outage is read after it, without a new read of all.
 func TestOutage(t *testing.T) {
 	f, v := start(t, 0)
