--- a/gateway/earlyrefusal.go
+++ b/gateway/earlyrefusal.go
@@ -21,8 +21,7 @@
 // waited, the route's objective and timeout, and how long the caller waits in all.
 // Only the want of a slot is refused: a load ends by itself, and refusing for any
 // late answer was worse (worth over twelve days 0.592, against 0.583 for any late
-// answer and 0.5875 without early refusal; docs/design/platform.md, commit
-// 7768a453).
+// answer and 0.5875 without early refusal; docs/design/platform.md).
 func refuseEarly(best *candidate, waited, objective, timeout, patience time.Duration) bool {
 	if !best.late || !best.full {
 		return false
