Send heartbeats in time however many gateways are linked

Cause: the pause between two statuses grew by 5 ms a gateway without a bound: at 300 gateways it is as long as a link may be silent, so that every gateway would take every controller for lost. Change: the pause ends at the heartbeat. The queue of prompts to read and its callers have names that tell them apart from what the engine reads. Measured: TestManyGatewaysGetHeartbeatsInTime failed before.

--- a/controller/engineloop.go
+++ b/controller/engineloop.go
@@ -78,7 +78,7 @@
 	c.applyCapacity()
 	c.slots.reconcile(now, r.Models, r.Loading)
 	c.slots.grantLoaded(now)
-	c.slots.admitReadings(now)
+	c.slots.admitPrompts(now)
 	if c.slots.loading() > 0 || r.Busy {
 		return loadingPoll
 	}
--- a/controller/publisher.go
+++ b/controller/publisher.go
@@ -105,9 +105,11 @@
 	return wire.NewNotification(enginelink.MethodStatus, text)
 }
 
-// publishEvery is the shortest time between two statuses for so many gateways.
+// publishEvery is the shortest time between two statuses for so many gateways. However
+// many there are, a heartbeat comes in time: at 300 gateways statuses that are spread
+// without a bound would come as late as a link counts as lost.
 func publishEvery(gateways int) time.Duration {
-	return max(publishPause, time.Duration(gateways)*publishShare)
+	return min(enginelink.Heartbeat, max(publishPause, time.Duration(gateways)*publishShare))
 }
 
 // publishLoop encodes the status when it may have changed, and at each
@@ -131,7 +133,7 @@
 	defer c.mu.Unlock()
 	status := c.status()
 	if c.published.apply(c.now(), status) {
-		c.metrics.published(&status, c.slots.readings.window.size())
+		c.metrics.published(&status, c.slots.toRead.window.size())
 		for l := range c.links {
 			l.notifyStatus()
 		}
--- a/controller/publisher_test.go
+++ b/controller/publisher_test.go
@@ -82,3 +82,10 @@
 	assert.Assert(t, len(brief) < len(changes))
 	t.Logf("first %d, full %d, changes %d, brief %d bytes", len(first), len(full), len(changes), len(brief))
 }
+
+// However many gateways are linked, statuses come as often as heartbeats must.
+func TestManyGatewaysGetHeartbeatsInTime(t *testing.T) {
+	for _, gateways := range []int{1, 100, 300, 4000} {
+		assert.Assert(t, publishEvery(gateways)+enginelink.Heartbeat < enginelink.HeartbeatTimeout, "%d gateways", gateways)
+	}
+}
--- a/controller/readqueue.go
+++ b/controller/readqueue.go
@@ -63,8 +63,8 @@
 }
 
 // next takes the request whose prompt the engine is to read next out of the queue. It
-// returns nil while none may be read beside the
-// tokens that the engine has yet to read. A prompt longer than the window is read alone.
+// returns nil while none may be read beside the tokens that the engine has yet to read. A
+// prompt longer than the window is read alone.
 func (q *readQueue) next(now time.Time, unread int) (*pendingRequest, sandbarrow.AdapterVersion) {
 	if len(q.waiting) == 0 {
 		return nil, 0
--- a/controller/readwindow.go
+++ b/controller/readwindow.go
@@ -65,8 +65,8 @@
 	}
 }
 
-// paused closes the window after a stream has paused for too long. It returns false for a pause that is
-// taken for the same as the last one.
+// paused closes the window after a stream has paused for too long. It returns false for a
+// pause that is taken for the same as the last one.
 func (w *readWindow) paused(now time.Time) bool {
 	if now.Sub(w.pausedAt) < readPause {
 		return false
--- a/controller/readwindow_test.go
+++ b/controller/readwindow_test.go
@@ -61,7 +61,7 @@
 	now := time.Now()
 	c.now = func() time.Time { return now }
 	step(t, c)
-	c.slots.readings.window.closed = mostReadTokens - 5_000
+	c.slots.toRead.window.closed = mostReadTokens - 5_000
 	ask := func() *pendingRequest {
 		return c.slots.acquire(now, &enginelink.Acquire{UsefulMS: 800}, &pin{key: key("a"), tokens: 4_000})
 	}
@@ -80,7 +80,7 @@
 	s.capacity = 2
 	now := time.Now()
 	s.markLoaded(now, key("a"), 1)
-	s.readings.window.closed = mostReadTokens - 10_000
+	s.toRead.window.closed = mostReadTokens - 10_000
 	ask := func(priority, tokens int) *pendingRequest {
 		return s.acquire(now, &enginelink.Acquire{Priority: priority, UsefulMS: 800}, &pin{key: key("a"), priority: priority, tokens: tokens})
 	}
--- a/controller/slots.go
+++ b/controller/slots.go
@@ -30,9 +30,9 @@
 	slots  map[sandbarrow.AdapterKey]*slot
 	// pins counts the granted pins of each adapter.
 	pins map[sandbarrow.AdapterKey]int
-	// readings are the requests whose adapter is pinned and whose prompt the engine may
-	// not read yet.
-	readings readQueue
+	// toRead are the requests whose adapter is pinned and whose prompt the engine may not
+	// read yet.
+	toRead readQueue
 	// reading follows what the engine has yet to read of the prompts of granted pins.
 	reading reading
 	pending map[sandbarrow.AdapterKey]*pendingLoad
@@ -80,7 +80,7 @@
 
 // cancel takes a request that waits out of the queue.
 func (s *slots) cancel(now time.Time, w *pendingRequest) {
-	if s.readings.remove(w) {
+	if s.toRead.remove(w) {
 		s.unpin(now, w.pin)
 		return
 	}
@@ -99,15 +99,15 @@
 func (s *slots) grant(now time.Time, v sandbarrow.AdapterVersion, w *pendingRequest) {
 	s.hold(now, w.pin)
 	w.pin.unread = s.unreadOf(w.pin)
-	s.readings.add(now, w, v)
-	s.admitReadings(now)
+	s.toRead.add(now, w, v)
+	s.admitPrompts(now)
 }
 
-// admitReadings tells the gateways of those requests whose prompts the engine may read
+// admitPrompts tells the gateways of those requests whose prompts the engine may read
 // now, the most urgent first.
-func (s *slots) admitReadings(now time.Time) {
+func (s *slots) admitPrompts(now time.Time) {
 	for {
-		w, v := s.readings.next(now, s.reading.tokens(now))
+		w, v := s.toRead.next(now, s.reading.tokens(now))
 		if w == nil {
 			return
 		}
@@ -152,7 +152,7 @@
 func (s *slots) startReading(now time.Time, p *pin) {
 	p.unread = s.unreadOf(p)
 	s.reading.granted(now, p)
-	s.readings.window.began(now, s.reading.tokens(now))
+	s.toRead.window.began(now, s.reading.tokens(now))
 }
 
 // unreadOf is the part of a prompt that the engine does not keep.
@@ -162,15 +162,15 @@
 
 // done ends the pin of a request that has ended.
 func (s *slots) done(now time.Time, p *pin) {
-	s.readings.window.ended()
+	s.toRead.window.ended()
 	s.unpin(now, p)
 }
 
 // paused notes that a stream has paused for longer than its route allows. It returns the
 // size of the read window, and whether that closed it.
 func (s *slots) paused(now time.Time) (int, bool) {
-	closed := s.readings.window.paused(now)
-	return s.readings.window.size(), closed
+	closed := s.toRead.window.paused(now)
+	return s.toRead.window.size(), closed
 }
 
 // unpin ends a granted pin; one that was not granted is left alone.
@@ -187,7 +187,7 @@
 	if sl := s.slots[p.key]; sl != nil {
 		sl.lastUsed = now
 	}
-	s.admitReadings(now)
+	s.admitPrompts(now)
 }
 
 // begun notes that the answer to a pinned request has begun, so that the engine has
@@ -195,7 +195,7 @@
 func (s *slots) begun(now time.Time, p *pin) {
 	if s.reading.begun(now, p) {
 		s.kept.Use(p.key, p.stretches)
-		s.admitReadings(now)
+		s.admitPrompts(now)
 	}
 }
 
@@ -208,7 +208,7 @@
 
 // refuseAll refuses all that wait.
 func (s *slots) refuseAll(now time.Time, reason enginelink.RefuseReason) {
-	for _, w := range s.readings.removeAll() {
+	for _, w := range s.toRead.removeAll() {
 		w.grant <- enginelink.Grant{Refused: reason}
 		s.unpin(now, w.pin)
 	}
@@ -224,7 +224,7 @@
 // answer has not begun, and those that wait for their adapter.
 func (s *slots) waiting() enginelink.Waiting {
 	waiting := s.reading.waiting()
-	s.readings.count(&waiting)
+	s.toRead.count(&waiting)
 	for _, load := range s.pending {
 		for _, w := range load.requests {
 			waiting.Add(w.pin.priority, w.pin.tokens)
