Refuse a notification that ends before its parameters, without a panic

Cause: the last byte of the parameters was cut off unseen, also where there are none: such a message ended the process that read it. Found by reading the change once more. Change: what does not end with the brace goes to the library, which refuses it. Measured: TestRefusedDirectNotification panicked before.

--- a/wire/notification.go
+++ b/wire/notification.go
@@ -55,11 +55,12 @@
 		return false // the caller's read ends the same way, and says how
 	}
 	for i := range s.direct {
-		params, ok := bytes.CutPrefix(body, s.direct[i].head)
+		rest, ok := bytes.CutPrefix(body, s.direct[i].head)
 		if !ok {
 			continue
 		}
-		if s.direct[i].serve(params[:len(params)-1]) != nil {
+		params, ok := bytes.CutSuffix(rest, []byte("}"))
+		if !ok || s.direct[i].serve(params) != nil {
 			return false
 		}
 		_, err := s.reader.Discard(n)
--- a/wire/notification_test.go
+++ b/wire/notification_test.go
@@ -84,6 +84,9 @@
 	var got json.RawMessage
 	assert.NilError(t, b.ReadObject(&got))
 	assert.Equal(t, string(got), message)
+	const cut = `{"jsonrpc":"2.0","method":"direct","params":`
+	assert.NilError(t, a.Send([]byte(cut)))
+	assert.Assert(t, b.ReadObject(new(numbered)) != nil, "a message without parameters")
 	_, err := a.conn.Write([]byte{0, 0, 0, 90, '{'})
 	assert.NilError(t, err)
 	assert.NilError(t, a.Close())
