--- a/controller/engineloop.go
+++ b/controller/engineloop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"sandbarrow.example/sandbarrow"
@@ -73,6 +74,7 @@
 		c.slots.refuseAll(c.now(), enginelink.RefuseDraining)
 	}
 	now := c.now()
+	c.logNewModels(r.Models)
 	c.sequence = r.Sequence
 	c.reported = r
 	c.applyCapacity()
@@ -85,6 +87,20 @@
 	return idlePoll
 }
 
+// logNewModels writes a line for each base model that the last report did not have at
+// its version. The caller holds mu.
+func (c *Controller) logNewModels(models []sandbarrow.LoadedModel) {
+	for _, m := range models {
+		known := slices.ContainsFunc(c.reported.Models, func(old sandbarrow.LoadedModel) bool {
+			return old.Model == m.Model && old.Version == m.Version
+		})
+		if !known {
+			c.logger.Info("base model loaded", "model", string(m.Model), "model_version", uint64(m.Version), "instance", string(c.instance))
+			c.metrics.modelLoaded(m)
+		}
+	}
+}
+
 // countFailedReport counts a report without answer. The engine may have restarted
 // meanwhile, so that its instance is not known any more. The caller holds mu.
 func (c *Controller) countFailedReport(err error) {
--- a/controller/metrics.go
+++ b/controller/metrics.go
@@ -11,6 +11,7 @@
 type metrics struct {
 	answerBase    prometheus.Gauge
 	loads         prometheus.Histogram
+	modelVersion  *prometheus.GaugeVec
 	orders        *prometheus.CounterVec
 	readPerToken  prometheus.Gauge
 	readWindow    prometheus.Gauge
@@ -27,6 +28,9 @@
 			Name: "sandbarrow_controller_load_seconds", Help: "Time from the order to the loaded adapter.",
 			Buckets: []float64{0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3},
 		}),
+		modelVersion: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "sandbarrow_controller_model_version", Help: "Version of the base model's weights that the engine runs.",
+		}, []string{"model"}),
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sandbarrow_controller_orders_total", Help: "Orders to the engine, by operation and outcome.",
 		}, []string{"operation", "outcome"}),
@@ -43,10 +47,15 @@
 			Name: "sandbarrow_controller_waiting_tokens", Help: "Prompt tokens that the engine has yet to read.",
 		}),
 	}
-	r.MustRegister(m.answerBase, m.loads, m.orders, m.readPerToken, m.readWindow, m.refusals, m.tokensWaiting)
+	r.MustRegister(m.answerBase, m.loads, m.modelVersion, m.orders, m.readPerToken, m.readWindow, m.refusals, m.tokensWaiting)
 	return m
 }
 
+// modelLoaded shows the version of a base model that the engine has loaded.
+func (m *metrics) modelLoaded(l sandbarrow.LoadedModel) {
+	m.modelVersion.WithLabelValues(string(l.Model)).Set(float64(l.Version))
+}
+
 func (m *metrics) order(o *sandbarrow.EngineOrder, outcome string) {
 	operation := "unload"
 	if o.Load {
--- a/controller/publisher.go
+++ b/controller/publisher.go
@@ -57,7 +57,7 @@
 	if p.holds > 0 && now.Sub(p.at) < enginelink.Heartbeat-publishPause && reflect.DeepEqual(s, p.last) {
 		return false
 	}
-	if p.holds == 0 || !slices.Equal(s.Slots, p.last.Slots) || !slices.Equal(s.Models, p.last.Models) || s.Speed != p.last.Speed || s.Loads != p.last.Loads {
+	if p.holds == 0 || !slices.Equal(s.Slots, p.last.Slots) || !s.SameModels(&p.last) || s.Speed != p.last.Speed || s.Loads != p.last.Loads {
 		p.holds++
 		p.before = p.last
 	}
--- a/controller/status.go
+++ b/controller/status.go
@@ -10,6 +10,7 @@
 	}
 	for _, m := range c.reported.Models {
 		s.Models = append(s.Models, m.Model)
+		s.ModelVersions = append(s.ModelVersions, m.Version)
 	}
 	for l := range c.links {
 		for _, p := range l.pins {
--- a/enginelink/status.go
+++ b/enginelink/status.go
@@ -55,14 +55,15 @@
 
 // Brief is the status for a reader that knows what the engine holds.
 func (s Status) Brief() Status {
-	s.Loads, s.Models, s.Slots, s.Speed, s.Same = Loads{}, nil, nil, readspeed.Speed{}, true
+	s.Loads, s.Models, s.ModelVersions, s.Slots, s.Speed, s.Same = Loads{}, nil, nil, nil, readspeed.Speed{}, true
 	return s
 }
 
 // Since is the status for a reader that has last. It returns false where that reader
-// needs the full one, since the engine holds other base models.
+// needs the full one, since the engine holds other base models, or others of their
+// versions.
 func (s Status) Since(last *Status) (Status, bool) {
-	if !slices.Equal(s.Models, last.Models) {
+	if !s.SameModels(last) {
 		return Status{}, false
 	}
 	changes := slotChanges(last.Slots, s.Slots)
@@ -108,13 +109,28 @@
 	return now
 }
 
+// ModelVersion is the version of a base model that the engine holds, or 0 where it holds
+// none or its version is not known.
+func (s *Status) ModelVersion(m sandbarrow.BaseModelID) sandbarrow.ModelVersion {
+	i := slices.Index(s.Models, m)
+	if i < 0 || i >= len(s.ModelVersions) {
+		return 0
+	}
+	return s.ModelVersions[i]
+}
+
+// SameModels reports whether the engine holds the same base models at the same versions.
+func (s *Status) SameModels(other *Status) bool {
+	return slices.Equal(s.Models, other.Models) && slices.Equal(s.ModelVersions, other.ModelVersions)
+}
+
 // Expand undoes Full, and Brief and Since with the help of the last status.
 func (s *Status) Expand(last *Status) {
 	if !s.Same {
 		expand(s.Slots, s.Models)
 		return
 	}
-	s.Models, s.Slots, s.Same = last.Models, last.Slots, false
+	s.Models, s.ModelVersions, s.Slots, s.Same = last.Models, last.ModelVersions, last.Slots, false
 	if len(s.Changes) > 0 {
 		expand(s.Changes, s.Models)
 		s.Slots = applyChanges(last.Slots, s.Changes)
@@ -149,9 +165,12 @@
 	// Loads are those of the engine that came from the weight store.
 	Loads  Loads                    `json:"l,omitzero"`
 	Models []sandbarrow.BaseModelID `json:"m,omitempty"`
+	// ModelVersions are those of Models, in their order; empty from a controller that does
+	// not report them.
+	ModelVersions []sandbarrow.ModelVersion `json:"mv,omitempty"`
 	// Running counts granted pins.
 	Running int `json:"r"`
-	// Same says that what of Loads, Models, Slots and Speed is left out is that of the last
+	// Same says that what of Loads, Models, their versions, Slots and Speed is left out is that of the last
 	// status on this link.
 	Same bool `json:"k,omitempty"`
 	// EngineUnreachable says that the engine does not answer.
--- a/enginelink/status_test.go
+++ b/enginelink/status_test.go
@@ -22,7 +22,7 @@
 		{Adapter: "a", Model: "base", State: SlotLoaded, Version: 3},
 		{Adapter: "b", Model: "other", State: SlotLoading, Version: 1},
 	}
-	first := Status{Free: 1, Instance: "i", Models: []sandbarrow.BaseModelID{"base"}, Running: 2, Slots: held, Loads: Loads{Count: 7, TookMS: 260}, Speed: readspeed.Speed{Base: time.Millisecond, PerToken: time.Microsecond}}
+	first := Status{Free: 1, Instance: "i", Models: []sandbarrow.BaseModelID{"base"}, ModelVersions: []sandbarrow.ModelVersion{7}, Running: 2, Slots: held, Loads: Loads{Count: 7, TookMS: 260}, Speed: readspeed.Speed{Base: time.Millisecond, PerToken: time.Microsecond}}
 	second := first
 	second.Running, second.WaitingTokens, second.WaitingByPriority = 3, 500, &Waiting{100, 400}
 	var last Status
@@ -63,8 +63,9 @@
 			return list
 		}
 		models := []sandbarrow.BaseModelID{"base", "other"}
-		last := Status{Loads: Loads{Count: 1, TookMS: 250}, Models: models, Slots: slots("before"), Speed: readspeed.Prior}
-		now := Status{Loads: Loads{Count: 2, TookMS: 260}, Models: models, Slots: slots("after"), Speed: readspeed.Prior, Running: 3}
+		versions := []sandbarrow.ModelVersion{1, 7}
+		last := Status{Loads: Loads{Count: 1, TookMS: 250}, Models: models, ModelVersions: versions, Slots: slots("before"), Speed: readspeed.Prior}
+		now := Status{Loads: Loads{Count: 2, TookMS: 260}, Models: models, ModelVersions: versions, Slots: slots("after"), Speed: readspeed.Prior, Running: 3}
 		sent, ok := now.Since(&last)
 		assert.Assert(t, ok)
 		text, err := json.Marshal(sent)
@@ -93,7 +94,18 @@
 	assert.NilError(t, err)
 	assert.Assert(t, len(short)*2 < len(long), "%s, %s", short, long)
 
+	next.ModelVersions = []sandbarrow.ModelVersion{7}
+	_, ok = next.Since(&full)
+	assert.Assert(t, !ok, "another version of the base model needs the full status")
 	next.Models = []sandbarrow.BaseModelID{"another"}
 	_, ok = next.Since(&full)
 	assert.Assert(t, !ok, "other base models need the full status")
 }
+
+// A base model's version is known only where the controller reports it.
+func TestModelVersion(t *testing.T) {
+	s := Status{Models: []sandbarrow.BaseModelID{"base", "other"}, ModelVersions: []sandbarrow.ModelVersion{7}}
+	assert.Equal(t, s.ModelVersion("base"), sandbarrow.ModelVersion(7))
+	assert.Equal(t, s.ModelVersion("other"), sandbarrow.ModelVersion(0))
+	assert.Equal(t, s.ModelVersion("none"), sandbarrow.ModelVersion(0))
+}
--- a/estate/estate.go
+++ b/estate/estate.go
@@ -149,7 +149,7 @@
 	case err == nil:
 		if version > next.versions[key] {
 			next.versions[key] = version
-			e.logger.Info("adapter version named", "model", string(key.Model), "adapter", string(key.Adapter), "version", uint64(version), "revision", uint64(it.Revision))
+			e.logNamed(key, version, it.Revision)
 		}
 		return
 	case !errors.Is(err, ErrOtherKey):
@@ -167,3 +167,14 @@
 	next.Table, next.Revision, next.At = table, it.Revision, time.Now()
 	e.logger.Info("configuration in force", "version", table.Version, "revision", uint64(it.Revision))
 }
+
+// logNamed writes a line for a version that is in force now.
+func (e *Estate) logNamed(key sandbarrow.AdapterKey, v sandbarrow.AdapterVersion, at sandbarrow.StoreRevision) {
+	if key.Adapter == "" {
+		// Engines that run keep the weights that they have: only those that load the model
+		// from now on differ.
+		e.logger.Info("base model version named", "model", string(key.Model), "model_version", uint64(v), "revision", uint64(at))
+		return
+	}
+	e.logger.Info("adapter version named", "model", string(key.Model), "adapter", string(key.Adapter), "version", uint64(v), "revision", uint64(at))
+}
--- a/gateway/candidate.go
+++ b/gateway/candidate.go
@@ -26,6 +26,10 @@
 	held bool
 	// full says that the adapter would wait for a slot to come free.
 	full bool
+	// granted is the adapter's version that its controller granted.
+	granted sandbarrow.AdapterVersion
+	// modelVersion is that of the base model, by the last status.
+	modelVersion sandbarrow.ModelVersion
 	// moved is how many tokens of the prompt the engine takes from the one at moveFrom.
 	moved    int
 	moveFrom string
@@ -59,6 +63,7 @@
 		}
 		e.remote = m.instance.FailureDomain != g.config.Domain
 		e.inFlight, e.cost = g.health.look(now, m.instance.ID)
+		e.modelVersion = e.status.ModelVersion(c.key.Model)
 		list = append(list, e)
 	}
 	return list
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -97,6 +97,7 @@
 		s.why = reasonNoUpstream
 		return 0, false
 	}
+	e.granted = grant.Version
 	return grant.Version, true
 }
 
--- a/instance.go
+++ b/instance.go
@@ -6,6 +6,9 @@
 // AdapterVersion numbers the versions of an adapter; 0 means not known.
 type AdapterVersion uint64
 
+// ModelVersion numbers the versions of a base model's weights; 0 means not known.
+type ModelVersion uint64
+
 // AdapterKey names an adapter of a base model.
 type AdapterKey struct {
 	Adapter AdapterID   `json:"adapter"`
@@ -22,6 +25,9 @@
 type LoadedModel struct {
 	Adapters []LoadedAdapter
 	Model    BaseModelID
+	// Version is that of the base model's weights. It differs between engines: each has
+	// what was the newest when it loaded the model, and keeps it until it restarts.
+	Version ModelVersion
 }
 
 // Instance is one upstream as it is listed.
