Show by a test that prompts run on memory of other weights

Cause: see the head of the test. An engine is told to take kept memory of a prompt from one whose base model, or whose adapter, has another version. Ruled out with it: that the record's order of events needs a restart of an engine or a new version of an adapter.

--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -59,7 +59,7 @@
 	}
 	return route.NewTable(t.Version, t.Routes, []route.Service{
 		{ID: testPlain},
-		{ID: testEngines, HealthPath: "/health", Engine: &route.Engine{AdapterSlots: 2, Models: []route.Model{{ID: testModel}}}},
+		{ID: testEngines, HealthPath: "/health", Engine: &route.Engine{AdapterSlots: 2, MemoryTokens: 100_000, Models: []route.Model{{ID: testModel}}, MovePerToken: time.Microsecond}},
 	}, route.Limits{MaxBodyBytes: 1000, MaxHeaderBytes: 4000})
 }
 
@@ -89,9 +89,13 @@
 	server  *httptest.Server
 	service sandbarrow.ServiceID
 
-	mu       sync.Mutex
-	adapters map[sandbarrow.AdapterID]sandbarrow.AdapterVersion
-	sequence uint64
+	mu           sync.Mutex
+	adapters     map[sandbarrow.AdapterID]sandbarrow.AdapterVersion
+	modelVersion sandbarrow.ModelVersion
+	sequence     uint64
+	// memory is what it keeps of prompts; peer finds another runner by its address.
+	memory testMemory
+	peer   func(address string) *runner
 	// ran lists the ids of requests that ran, got the headers of all that came.
 	ran []string
 	got []http.Header
@@ -107,7 +111,7 @@
 }
 
 func newRunner(id string, service sandbarrow.ServiceID) *runner {
-	r := &runner{id: sandbarrow.InstanceID(id), service: service, cutAfter: -1, status: http.StatusOK,
+	r := &runner{id: sandbarrow.InstanceID(id), service: service, cutAfter: -1, modelVersion: 1, status: http.StatusOK,
 		adapters: map[sandbarrow.AdapterID]sandbarrow.AdapterVersion{}}
 	r.server = httptest.NewServer(r)
 	return r
@@ -141,6 +145,7 @@
 	refuse, hang, status, cut := r.refuse, r.hang, r.status, r.cutAfter
 	if !misdirected && !refuse {
 		r.ran = append(r.ran, id)
+		r.usePrompt(q.Header, testWeights{adapter: version, model: r.modelVersion})
 	}
 	r.mu.Unlock()
 	switch {
@@ -164,6 +169,22 @@
 	}
 }
 
+// usePrompt takes what another engine keeps of a prompt, where the request names one, and
+// runs the prompt on it. The caller holds mu.
+func (r *runner) usePrompt(h http.Header, w testWeights) {
+	var parts []string
+	if list := h.Get(testNames.Prompt); list != "" {
+		parts = strings.Split(list, ",")
+	}
+	if from := h.Get(testNames.MoveFrom); from != "" {
+		source := r.peer(from)
+		source.mu.Lock()
+		r.memory.take(&source.memory, parts)
+		source.mu.Unlock()
+	}
+	r.memory.use(w, parts)
+}
+
 func (r *runner) stream(w http.ResponseWriter, q *http.Request, cut int) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set(testNames.Signature, "signed-"+string(r.id))
@@ -184,7 +205,7 @@
 func (r *runner) Report(context.Context) (sandbarrow.EngineReport, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	m := sandbarrow.LoadedModel{Model: testModel}
+	m := sandbarrow.LoadedModel{Model: testModel, Version: r.modelVersion}
 	for a, v := range r.adapters {
 		m.Adapters = append(m.Adapters, sandbarrow.LoadedAdapter{Adapter: a, Version: v})
 	}
@@ -208,12 +229,14 @@
 
 // fleet is a gateway with runners and controllers in one process.
 type fleet struct {
-	gateway *Gateway
-	runners []*runner
-	stop    context.CancelFunc
-	store   *store.Memory
-	url     string
-	version uint64
+	// addresses has the engines by their addresses; it is complete before the first request.
+	addresses map[string]*runner
+	gateway   *Gateway
+	runners   []*runner
+	stop      context.CancelFunc
+	store     *store.Memory
+	url       string
+	version   uint64
 }
 
 // newFleet starts engines, on loopback addresses of their own so that their
@@ -221,7 +244,7 @@
 func newFleet(t *testing.T, engines, plain int) *fleet {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
-	f := &fleet{stop: stop, store: store.NewMemory()}
+	f := &fleet{addresses: map[string]*runner{}, stop: stop, store: store.NewMemory()}
 	logger := slog.New(slog.DiscardHandler)
 	port := "0"
 	for i := range engines {
@@ -240,6 +263,8 @@
 		go func() { _ = k.Run(ctx) }()
 		go func() { _ = k.Serve(ctx, links) }()
 		t.Cleanup(func() { _ = moved.Close() })
+		r.peer = f.runnerAt
+		f.addresses[address] = r
 		f.list(t, r, address, false)
 		f.runners = append(f.runners, r)
 	}
@@ -268,6 +293,11 @@
 	return f
 }
 
+// runnerAt returns the engine at an address.
+func (f *fleet) runnerAt(address string) *runner {
+	return f.addresses[address]
+}
+
 func portOf(address string) string {
 	_, port, _ := net.SplitHostPort(address)
 	return port
