Let fleets of tests that run at the same time choose free ports

Cause: a fleet of the gateway's tests took a port that was free on 127.0.0.1 and listened with it on 127.0.0.11 and up. TestMovedRoute failed once with 'bind: address already in use' while other processes on the machine ran tests with such addresses. Ruled out: the product; the listeners are the test's own. Change: engines listen on any free port; controllers, which share one port, are tried again where it is in use on one of their addresses.

--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -246,22 +247,19 @@
 	ctx, stop := context.WithCancel(context.Background())
 	f := &fleet{addresses: map[string]*runner{}, stop: stop, store: store.NewMemory()}
 	logger := slog.New(slog.DiscardHandler)
-	port := "0"
+	links, port := listenOnOnePort(t, engines)
 	for i := range engines {
 		r := newRunner(fmt.Sprintf("engine-%d", i), testEngines)
-		address := fmt.Sprintf("127.0.0.%d:%s", 11+i, portOf(r.server.Listener.Addr().String()))
-		moved, err := net.Listen("tcp", address)
+		moved, err := net.Listen("tcp", engineHost(i)+":0")
 		assert.NilError(t, err)
+		address := moved.Addr().String()
 		go func() { _ = http.Serve(moved, r) }()
-		links, err := net.Listen("tcp", fmt.Sprintf("127.0.0.%d:%s", 11+i, port))
-		assert.NilError(t, err)
-		port = portOf(links.Addr().String())
 		k := controller.New(controller.Config{
 			Box: "box", Control: r, Documents: testDocuments{}, Engine: address, Logger: logger,
 			Metrics: prometheus.NewRegistry(), Service: testEngines, Store: f.store,
 		})
 		go func() { _ = k.Run(ctx) }()
-		go func() { _ = k.Serve(ctx, links) }()
+		go func() { _ = k.Serve(ctx, links[i]) }()
 		t.Cleanup(func() { _ = moved.Close() })
 		r.peer = f.runnerAt
 		f.addresses[address] = r
@@ -293,6 +291,35 @@
 	return f
 }
 
+// engineHost is the loopback address of an engine's box.
+func engineHost(i int) string {
+	return fmt.Sprintf("127.0.0.%d", 11+i)
+}
+
+// listenOnOnePort listens on the addresses of all boxes on the same port. A port that is
+// free on the first one may be in use on another, by a test that runs at the same time.
+func listenOnOnePort(t *testing.T, boxes int) ([]net.Listener, string) {
+	t.Helper()
+	for {
+		port := "0"
+		var all []net.Listener
+		for i := range boxes {
+			l, err := net.Listen("tcp", net.JoinHostPort(engineHost(i), port))
+			if errors.Is(err, syscall.EADDRINUSE) {
+				break
+			}
+			assert.NilError(t, err)
+			all, port = append(all, l), portOf(l.Addr().String())
+		}
+		if len(all) == boxes {
+			return all, port
+		}
+		for _, l := range all {
+			assert.NilError(t, l.Close())
+		}
+	}
+}
+
 // runnerAt returns the engine at an address.
 func (f *fleet) runnerAt(address string) *runner {
 	return f.addresses[address]
