Use prompt memory only with the weights that made it

Cause: what an engine keeps of a prompt was named by the base model's name, the adapter and the adapter's version that a request had asked for. The content depends on what ran: the version of the base model's weights, which differs between engines after one was named, and the adapter's version that was granted. Gateways let engines take memory from others whose weights differed in either, and decided so before the grant. Class: something made under one version is used under another, because its name leaves out a version on which it depends, or because a decision made under one version is carried out under another. Change: promptcache knows no key without the versions of the weights (Prefix and Key are types of their own); unknown versions equal nothing. A controller keeps what was read for the weights that ran, and forgets it when an adapter or base model is replaced. The grant carries the base model's version. A move is considered only between engines of the same weights, and is settled right before the request is sent, by the grant, the other engine's last report and the version named last. A new connection to a controller forgets what the last one reported. A base model's named version binds no request, so that requests for the base model alone are not refused by engines with older weights.

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -21,6 +21,8 @@
 	testModel   = sandbarrow.BaseModelID("base")
 	testService = sandbarrow.ServiceID("engines")
 	testSlots   = 3
+	// testModelVersion is the version of the base model that a fake engine begins with.
+	testModelVersion = sandbarrow.ModelVersion(4)
 )
 
 // testDocuments reads a table from the key "table" and versions from others.
--- a/controller/fakeengine_test.go
+++ b/controller/fakeengine_test.go
@@ -16,7 +16,9 @@
 	sequence uint64
 	loaded   map[sandbarrow.AdapterKey]sandbarrow.AdapterVersion
 	models   []sandbarrow.BaseModelID
-	token    sandbarrow.FencingToken
+	// modelVersion is that of all base models.
+	modelVersion sandbarrow.ModelVersion
+	token        sandbarrow.FencingToken
 	// loseNext makes the next orders get no answer; late keeps them.
 	loseNext int
 	late     []sandbarrow.EngineOrder
@@ -27,7 +29,7 @@
 }
 
 func newFakeEngine(slots int) *fakeEngine {
-	return &fakeEngine{slots: slots, loaded: map[sandbarrow.AdapterKey]sandbarrow.AdapterVersion{}}
+	return &fakeEngine{modelVersion: testModelVersion, slots: slots, loaded: map[sandbarrow.AdapterKey]sandbarrow.AdapterVersion{}}
 }
 
 func (f *fakeEngine) id() sandbarrow.InstanceID {
@@ -48,7 +50,7 @@
 	}
 	r := sandbarrow.EngineReport{Draining: f.leaving, Sequence: f.sequence}
 	for _, m := range f.models {
-		held := sandbarrow.LoadedModel{Model: m}
+		held := sandbarrow.LoadedModel{Model: m, Version: f.modelVersion}
 		for k, v := range f.loaded {
 			held.Adapters = append(held.Adapters, sandbarrow.LoadedAdapter{Adapter: k.Adapter, Version: v})
 		}
@@ -106,6 +108,20 @@
 	f.late = nil
 }
 
+// replace makes the engine hold another version of an adapter.
+func (f *fakeEngine) replace(k sandbarrow.AdapterKey, v sandbarrow.AdapterVersion) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loaded[k] = v
+}
+
+// renewModel makes the engine run other weights of its base model.
+func (f *fakeEngine) renewModel(v sandbarrow.ModelVersion) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.modelVersion = v
+}
+
 // restart empties the engine.
 func (f *fakeEngine) restart() {
 	f.mu.Lock()
--- a/controller/kept_test.go
+++ b/controller/kept_test.go
@@ -34,10 +34,10 @@
 	v.mirror.Apply(k.Changes, k.All)
 }
 
-func (v *keptView) kept(s []promptcache.Stretch) int {
+func (v *keptView) kept(w sandbarrow.WeightsVersion, s []promptcache.Stretch) int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.mirror.Kept(s)
+	return v.mirror.Kept(w, s)
 }
 
 // What the engine keeps of a prompt is reported to all gateways once it is read, also to
@@ -46,21 +46,22 @@
 	f := newFakeEngine(testSlots)
 	f.models = []sandbarrow.BaseModelID{testModel}
 	f.loaded[key("a")] = 1
+	runs := sandbarrow.WeightsVersion{Adapter: 1, Model: testModelVersion}
 	c := newTestController(t, f)
 	step(t, c)
 	go func() { _ = c.publishLoop(t.Context()) }()
 	var first, later keptView
 	rpc := linkTo(t.Context(), c, first.follow)
-	s := promptcache.Stretches(key("a"), 1, "ab:3000,cd:500,ef:100")
-	other := promptcache.Stretches(key("a"), 1, "ab:3000,cd:500,09:100")
+	s := promptcache.Stretches(key("a"), "ab:3000,cd:500,ef:100")
+	other := promptcache.Stretches(key("a"), "ab:3000,cd:500,09:100")
 	var g enginelink.Grant
 	ask := enginelink.Acquire{Adapter: "a", ID: "1", Model: testModel, Stretches: s, Tokens: 3600, WaitMS: 100}
 	assert.NilError(t, rpc.Call(t.Context(), enginelink.MethodAcquire, ask, &g))
-	assert.Equal(t, first.kept(other), 0, "it has not been read")
+	assert.Equal(t, first.kept(runs, other), 0, "it has not been read")
 	assert.NilError(t, rpc.Notify(t.Context(), enginelink.MethodBegun, enginelink.Pin{ID: "1"}))
-	eventually(t, func() bool { return first.kept(other) == 3500 })
+	eventually(t, func() bool { return first.kept(runs, other) == 3500 })
 	linkTo(t.Context(), c, later.follow)
-	eventually(t, func() bool { return later.kept(other) == 3500 })
+	eventually(t, func() bool { return later.kept(runs, other) == 3500 })
 
 	ask.ID, ask.Stretches = "2", other
 	assert.NilError(t, rpc.Call(t.Context(), enginelink.MethodAcquire, ask, &g))
@@ -70,7 +71,7 @@
 	c.slots.remove(key("a"))
 	c.published.announce()
 	c.mu.Unlock()
-	eventually(t, func() bool { return first.kept(other) == 0 && later.kept(other) == 0 })
+	eventually(t, func() bool { return first.kept(runs, other) == 0 && later.kept(runs, other) == 0 })
 }
 
 // A controller that starts anew begins with the speed that a gateway knows.
@@ -85,3 +86,50 @@
 		return c.status().Speed == told
 	})
 }
+
+// What an engine keeps is kept for the weights with which it ran the request, not for the
+// version that the request asked for, and goes when the engine replaces the adapter or
+// comes up with another version of the base model.
+func TestKeptPartsAreOfTheWeightsThatRan(t *testing.T) {
+	f := newFakeEngine(testSlots)
+	f.models = []sandbarrow.BaseModelID{testModel}
+	f.loaded[key("a")] = 2
+	c := newTestController(t, f)
+	step(t, c)
+	rpc := linkTo(t.Context(), c, nil)
+	s := promptcache.Stretches(key("a"), "ab:3000,cd:500,ef:100")
+	kept := func(adapter sandbarrow.AdapterVersion, model sandbarrow.ModelVersion) int {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.slots.kept.Kept(sandbarrow.WeightsVersion{Adapter: adapter, Model: model}, s)
+	}
+	read := func(id sandbarrow.RequestID) enginelink.Grant {
+		var g enginelink.Grant
+		ask := enginelink.Acquire{Adapter: "a", ID: id, Model: testModel, Stretches: s, Tokens: 3600, Version: 1, WaitMS: 100}
+		assert.NilError(t, rpc.Call(t.Context(), enginelink.MethodAcquire, ask, &g))
+		assert.NilError(t, rpc.Notify(t.Context(), enginelink.MethodBegun, enginelink.Pin{ID: id}))
+		assert.NilError(t, rpc.Notify(t.Context(), enginelink.MethodDone, enginelink.Pin{ID: id}))
+		eventually(t, func() bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.slots.pins[key("a")] == 0
+		})
+		return g
+	}
+	g := read("1")
+	assert.Equal(t, g.Weights(), sandbarrow.WeightsVersion{Adapter: 2, Model: testModelVersion})
+	assert.Equal(t, kept(1, testModelVersion), 0, "the version that was asked for")
+	assert.Equal(t, kept(2, testModelVersion), 3600)
+
+	f.replace(key("a"), 3)
+	step(t, c)
+	assert.Equal(t, kept(2, testModelVersion), 0, "the adapter was replaced")
+	read("2")
+	assert.Equal(t, kept(3, testModelVersion), 3600)
+
+	f.renewModel(testModelVersion + 1)
+	step(t, c)
+	assert.Equal(t, kept(3, testModelVersion), 0, "the base model has another version")
+	assert.Equal(t, read("3").ModelVersion, testModelVersion+1)
+	assert.Equal(t, kept(3, testModelVersion+1), 3600)
+}
--- a/controller/pendingload.go
+++ b/controller/pendingload.go
@@ -37,6 +37,8 @@
 	// tokens is the length of the prompt, unread the part of it that the engine did not
 	// keep at the grant.
 	tokens, unread int
+	// weights are the versions with which the engine runs the request, known at the grant.
+	weights sandbarrow.WeightsVersion
 }
 
 // pendingRequest is one request that waits for its adapter. Its channel holds one
--- a/controller/reconcile.go
+++ b/controller/reconcile.go
@@ -12,6 +12,7 @@
 // loaded and what it loads. The report has the last word over what was ordered.
 func (s *slots) reconcile(now time.Time, models []sandbarrow.LoadedModel, loading []sandbarrow.LoadingAdapter) {
 	held := map[sandbarrow.AdapterKey]bool{}
+	s.applyModels(models)
 	for _, m := range models {
 		for _, a := range m.Adapters {
 			key := sandbarrow.AdapterKey{Adapter: a.Adapter, Model: m.Model}
@@ -41,6 +42,19 @@
 	s.memory.Note(maps.Keys(held))
 }
 
+// applyModels keeps which versions of base models the engine holds. Where one has changed,
+// what the engine kept was made with other weights, or by an earlier start.
+func (s *slots) applyModels(models []sandbarrow.LoadedModel) {
+	now := make(map[sandbarrow.BaseModelID]sandbarrow.ModelVersion, len(models))
+	for _, m := range models {
+		now[m.Model] = m.Version
+		if before, ok := s.models[m.Model]; ok && before != m.Version {
+			s.kept.Clear()
+		}
+	}
+	s.models = now
+}
+
 // slotOf returns the slot of an adapter, or a new one.
 func (s *slots) slotOf(key sandbarrow.AdapterKey) *slot {
 	if sl := s.slots[key]; sl != nil {
@@ -60,6 +74,9 @@
 		sl.state, sl.loaded = enginelink.SlotLoaded, now
 		sl.lastUsed = now
 	}
+	if sl.version != 0 && sl.version != v {
+		s.kept.Drop(key) // it was made with the older version
+	}
 	sl.version = v
 	s.slots[key] = sl
 }
--- a/controller/slots.go
+++ b/controller/slots.go
@@ -27,6 +27,8 @@
 	loadTook func(sandbarrow.AdapterKey, time.Duration)
 	// memory is what the engine's own memory should hold.
 	memory recall.Memory
+	// models has the versions of the base models that the engine holds.
+	models map[sandbarrow.BaseModelID]sandbarrow.ModelVersion
 	slots  map[sandbarrow.AdapterKey]*slot
 	// pins counts the granted pins of each adapter.
 	pins map[sandbarrow.AdapterKey]int
@@ -96,6 +98,7 @@
 // gateway as soon as the engine may read the prompt.
 func (s *slots) grant(now time.Time, v sandbarrow.AdapterVersion, w *pendingRequest) {
 	s.hold(now, w.pin)
+	w.pin.weights = sandbarrow.WeightsVersion{Adapter: v, Model: s.models[w.pin.key.Model]}
 	w.pin.unread = s.unreadOf(w.pin)
 	s.toRead.add(now, w, v)
 	s.admitPrompts(now)
@@ -110,7 +113,7 @@
 			return
 		}
 		s.startReading(now, w.pin)
-		w.grant <- enginelink.Grant{Version: v}
+		w.grant <- enginelink.Grant{ModelVersion: w.pin.weights.Model, Version: v}
 	}
 }
 
@@ -155,7 +158,7 @@
 
 // unreadOf is the part of a prompt that the engine does not keep.
 func (s *slots) unreadOf(p *pin) int {
-	return max(0, p.tokens-s.kept.Kept(p.stretches))
+	return max(0, p.tokens-s.kept.Kept(p.weights, p.stretches))
 }
 
 // done ends the pin of a request that has ended.
@@ -189,10 +192,11 @@
 }
 
 // begun notes that the answer to a pinned request has begun, so that the engine has
-// read its prompt and keeps it.
+// read its prompt and keeps it, for the weights with which it runs: they may be newer than
+// those that the request asked for.
 func (s *slots) begun(now time.Time, p *pin) {
 	if s.reading.begun(now, p) {
-		s.kept.Use(p.key, p.stretches)
+		s.kept.Use(p.key, p.weights, p.stretches)
 		s.admitPrompts(now)
 	}
 }
--- a/enginelink/messages.go
+++ b/enginelink/messages.go
@@ -148,14 +148,21 @@
 
 // Grant answers an acquire.
 type Grant struct {
-	Refused RefuseReason              `json:"refused,omitempty"`
-	Version sandbarrow.AdapterVersion `json:"version,omitempty"`
+	// ModelVersion is that of the base model that the engine runs; 0 where it is not known.
+	ModelVersion sandbarrow.ModelVersion   `json:"model_version,omitempty"`
+	Refused      RefuseReason              `json:"refused,omitempty"`
+	Version      sandbarrow.AdapterVersion `json:"version,omitempty"`
 	// Waiting comes with RefuseBusy: the prompt tokens that wait.
 	Waiting int `json:"waiting,omitempty"`
 	// WaitingByPriority comes with it: the same by the priority of their routes.
 	WaitingByPriority *Waiting `json:"waiting_by_priority,omitempty"`
 }
 
+// Weights are the versions with which the engine runs the request.
+func (g *Grant) Weights() sandbarrow.WeightsVersion {
+	return sandbarrow.WeightsVersion{Adapter: g.Version, Model: g.ModelVersion}
+}
+
 // Pin names the pin of one request.
 type Pin struct {
 	ID sandbarrow.RequestID `json:"id"`
--- a/enginelink/status.go
+++ b/enginelink/status.go
@@ -119,6 +119,29 @@
 	return s.ModelVersions[i]
 }
 
+// Slot returns the slot of an adapter, or nil.
+func (s *Status) Slot(k sandbarrow.AdapterKey) *SlotStatus {
+	for i := range s.Slots {
+		if s.Slots[i].Key() == k {
+			return &s.Slots[i]
+		}
+	}
+	return nil
+}
+
+// Weights returns the versions with which the engine would run a request for an adapter
+// now; zero where it has not loaded it, or they are not known.
+func (s *Status) Weights(k sandbarrow.AdapterKey) sandbarrow.WeightsVersion {
+	v := sandbarrow.WeightsVersion{Model: s.ModelVersion(k.Model)}
+	if slot := s.Slot(k); slot != nil && slot.State == SlotLoaded {
+		v.Adapter = slot.Version
+	}
+	if !v.Known(k) {
+		return sandbarrow.WeightsVersion{}
+	}
+	return v
+}
+
 // SameModels reports whether the engine holds the same base models at the same versions.
 func (s *Status) SameModels(other *Status) bool {
 	return slices.Equal(s.Models, other.Models) && slices.Equal(s.ModelVersions, other.ModelVersions)
--- a/gateway/callerrequest.go
+++ b/gateway/callerrequest.go
@@ -31,7 +31,7 @@
 )
 
 // callerRequest is what a caller asks for. It is filled before the first attempt;
-// after that only version and stretches change, when operators name a newer one.
+// after that only version changes, when operators name a newer one.
 type callerRequest struct {
 	began   time.Time
 	body    []byte
@@ -46,11 +46,12 @@
 	// callerEnds is when the caller stops waiting, ends when the call does.
 	callerEnds, ends time.Time
 
-	key sandbarrow.AdapterKey
-	// stretches are those of the prompt, for the version of the last choice.
+	key       sandbarrow.AdapterKey
 	stretches []promptcache.Stretch
 	// tokens is the length of the prompt; 0 where the caller names none.
-	tokens  int
+	tokens int
+	// version is the least version of the adapter that may run; 0 for a base model alone,
+	// of which any version may.
 	version sandbarrow.AdapterVersion
 }
 
@@ -121,20 +122,19 @@
 	names := &c.gateway.config.Headers
 	model, adapter, _ := strings.Cut(c.request.Header.Get(names.Model), "/")
 	c.key = sandbarrow.AdapterKey{Adapter: sandbarrow.AdapterID(adapter), Model: sandbarrow.BaseModelID(model)}
-	c.version = c.view.Version(c.key)
+	c.stretches = promptcache.Stretches(c.key, c.request.Header.Get(names.Prompt))
+	c.version = c.namedVersion()
 	c.tokens = c.readTokens(c.request.Header.Get(names.Tokens))
 	c.lastEvent = c.request.Header.Get(names.LastEvent)
 }
 
-// readVersion reads which version must run now, and what engines may keep of the prompt
-// for it.
-func (c *call) readVersion() {
-	version := c.gateway.estate.View().Version(c.key)
-	if version == c.version && c.stretches != nil {
-		return
+// namedVersion is the version of the adapter that the operators have named last. A named
+// version of a base model binds no request: engines run the one that they loaded.
+func (c *call) namedVersion() sandbarrow.AdapterVersion {
+	if c.key.Adapter == "" {
+		return 0
 	}
-	c.version = version
-	c.stretches = promptcache.Stretches(c.key, version, c.request.Header.Get(c.gateway.config.Headers.Prompt))
+	return c.gateway.estate.View().Version(c.key)
 }
 
 // readTokens reads the prompt's length in tokens from a list that begins with it.
@@ -214,8 +214,8 @@
 	h.Set(names.Deadline, strconv.FormatInt(max(1, time.Until(c.callerEnds).Milliseconds()), 10))
 	h.Set(names.ExpectInstance, string(in.ID))
 	if c.service.Engine != nil {
-		if c.chosen != nil && c.chosen.moveFrom != "" {
-			h.Set(names.MoveFrom, c.chosen.moveFrom)
+		if c.chosen != nil && c.chosen.move.tokens > 0 {
+			h.Set(names.MoveFrom, c.chosen.move.source.instance.Address)
 		}
 		h.Set(names.Priority, strconv.Itoa(c.enginePriority()))
 	}
--- a/gateway/calllog.go
+++ b/gateway/calllog.go
@@ -69,8 +69,9 @@
 		slog.Bool("linked", e.linked), slog.Bool("held", e.held), slog.Int("free", e.status.Free), slog.Int("running", e.status.Running),
 		slog.Int("kept_tokens", e.kept), slog.Int("waiting_tokens", e.waitingTokens), slog.Int64("cost_ms", e.cost.Milliseconds()),
 		slog.Float64("token_us", float64(e.speed().PerToken)/float64(time.Microsecond)), slog.Int64("base_ms", e.speed().Base.Milliseconds()),
-		slog.Int64("status_age_ms", e.link.age().Milliseconds()), slog.Uint64("granted_version", uint64(e.granted)),
-		slog.Uint64("model_version", uint64(e.modelVersion)), slog.Int("moved_tokens", e.moved), slog.String("moved_from", e.moveFrom),
+		slog.Int64("status_age_ms", e.link.age().Milliseconds()), slog.Uint64("granted_version", uint64(e.granted.Adapter)),
+		slog.Uint64("model_version", uint64(e.granted.Model)), slog.Int("moved_tokens", e.move.tokens), slog.String("moved_from", e.move.from()),
+		slog.String("move", string(e.move.outcome)),
 	}
 }
 
--- a/gateway/candidate.go
+++ b/gateway/candidate.go
@@ -26,13 +26,10 @@
 	held bool
 	// full says that the adapter would wait for a slot to come free.
 	full bool
-	// granted is the adapter's version that its controller granted.
-	granted sandbarrow.AdapterVersion
-	// modelVersion is that of the base model, by the last status.
-	modelVersion sandbarrow.ModelVersion
-	// moved is how many tokens of the prompt the engine takes from the one at moveFrom.
-	moved    int
-	moveFrom string
+	// granted are the versions of the weights that its controller granted.
+	granted sandbarrow.WeightsVersion
+	// move is what the engine takes of the prompt from another one.
+	move promptMove
 	// late says that the answer is expected to miss its objective.
 	late bool
 	// cost is the expected delay with all prices; before appraise the penalty for
@@ -63,7 +60,6 @@
 		}
 		e.remote = m.instance.FailureDomain != g.config.Domain
 		e.inFlight, e.cost = g.health.look(now, m.instance.ID)
-		e.modelVersion = e.status.ModelVersion(c.key.Model)
 		list = append(list, e)
 	}
 	return list
@@ -84,20 +80,10 @@
 	if n.key.Adapter == "" {
 		return slices.Contains(e.status.Models, n.key.Model)
 	}
-	slot := e.slot(n.key)
+	slot := e.status.Slot(n.key)
 	return slot != nil && slot.Version >= n.version
 }
 
-// slot returns the slot of an adapter by the last status, or nil.
-func (e *candidate) slot(key sandbarrow.AdapterKey) *enginelink.SlotStatus {
-	for i := range e.status.Slots {
-		if e.status.Slots[i].Key() == key {
-			return &e.status.Slots[i]
-		}
-	}
-	return nil
-}
-
 // holdsModel reports whether an engine that is listed with these models holds what
 // the request needs.
 func holdsModel(models []sandbarrow.LoadedModel, n *need) bool {
@@ -122,7 +108,7 @@
 	if e == nil {
 		return tokens
 	}
-	return max(0, tokens-e.kept-e.moved)
+	return max(0, tokens-e.kept-e.move.tokens)
 }
 
 // speed is how fast the engine reads prompts, as its controller estimates it; nil is
--- a/gateway/controllerlink.go
+++ b/gateway/controllerlink.go
@@ -67,7 +67,7 @@
 	}))
 	defer rpc.Close()
 	l.mu.Lock()
-	l.rpc, l.lastContact = rpc, time.Now()
+	l.reconnect(rpc)
 	hello := enginelink.Hello{Box: l.gateway.config.Box, Changes: true, Speed: l.status.Speed, Token: l.status.Token}
 	if hello.Speed.PerToken <= 0 {
 		hello.Speed = typical
--- a/gateway/enginecost.go
+++ b/gateway/enginecost.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
 	"sandbarrow.example/sandbarrow/readspeed"
 )
@@ -67,8 +68,10 @@
 	loadDelay time.Duration
 	// speed is that of a typical engine.
 	speed readspeed.Speed
-	// source is where most of the prompt is kept.
-	source keptSource
+	// newest is the newest version of the adapter that an engine holds.
+	newest sandbarrow.AdapterVersion
+	// sources are where most of the prompt is kept.
+	sources keptSources
 }
 
 // surveyFleet finds which candidates hold the adapter, and what a load takes now.
@@ -87,10 +90,19 @@
 		}
 	}
 	f := surveyOf(copies, loading, n.loads(loading))
-	f.source, f.speed = sourceOf(list, n.movePerToken), typicalSpeed(list)
+	f.newest, f.sources, f.speed = newestHeld(list), sourcesOf(list, n), typicalSpeed(list)
 	return f
 }
 
+// newestHeld is the newest version of the adapter that a linked engine has loaded.
+func newestHeld(list []candidate) sandbarrow.AdapterVersion {
+	newest := sandbarrow.AdapterVersion(0)
+	for i := range list {
+		newest = max(newest, list[i].weights.Adapter)
+	}
+	return newest
+}
+
 // typicalSpeed is the mean speed of the engines whose controllers are linked.
 func typicalSpeed(list []candidate) readspeed.Speed {
 	var mean readspeed.Mean
@@ -129,7 +141,7 @@
 // it can't serve it. Before, cost holds the penalty for recent failures.
 func (e *candidate) appraise(n *need, f *fleetSurvey) bool {
 	speed := e.speed().Toward(f.speed)
-	move := e.considerMove(&f.source)
+	move := e.considerMove(n, f)
 	read := move + speed.Read(e.unread(n.tokens))
 	e.cost += read
 	if e.remote {
@@ -165,7 +177,7 @@
 	if n.key.Adapter == "" {
 		return 0, true
 	}
-	slot := e.slot(n.key)
+	slot := e.status.Slot(n.key)
 	if e.held && slot.State == enginelink.SlotLoaded {
 		return 0, true
 	}
--- a/gateway/linkstate.go
+++ b/gateway/linkstate.go
@@ -14,7 +14,7 @@
 )
 
 // linkState is what a gateway knows of one engine and its controller. It is safe
-// for concurrent use; methods whose name ends in Locked want mu held.
+// for concurrent use; reconnect and methods whose name ends in Locked want mu held.
 type linkState struct {
 	mu sync.Mutex
 	// kept is what the engine keeps of the prompts it has read.
@@ -43,6 +43,9 @@
 	status     enginelink.Status
 	// waitingTokens estimates the prompt tokens that the request would wait for there.
 	waitingTokens int
+	// weights are the versions with which the engine would run the request now; zero where
+	// it has not loaded the adapter, or they are not known.
+	weights sandbarrow.WeightsVersion
 }
 
 // view looks at the engine on behalf of a call. A nil link is not linked.
@@ -52,10 +55,30 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return linkView{
-		kept: l.kept.Kept(c.stretches), linked: l.usableLocked(now), recallable: l.memory.Has(c.key), status: l.status,
+	v := linkView{
+		linked: l.usableLocked(now), recallable: l.memory.Has(c.key), status: l.status,
 		waitingTokens: l.waitingTokensLocked(c.route.Priority),
 	}
+	if v.linked {
+		v.weights = l.status.Weights(c.key)
+		v.kept = l.kept.Kept(v.weights, c.stretches)
+	}
+	return v
+}
+
+// keeps is how many tokens of a prompt the engine keeps for weights of a version, by what
+// its controller has reported last; 0 where another instance answers by now, or the
+// engine runs other weights.
+func (l *controllerLink) keeps(now time.Time, in *sandbarrow.Instance, c *call, v sandbarrow.WeightsVersion) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.usableLocked(now) || l.status.EngineUnreachable || l.status.Weights(c.key) != v {
+		return 0
+	}
+	if l.status.Instance != "" && l.status.Instance != in.ID {
+		return 0
+	}
+	return l.kept.Kept(v, c.stretches)
 }
 
 // age is how old the last status is.
@@ -148,6 +171,15 @@
 	return s, before
 }
 
+// reconnect begins with a new connection to the controller. What was reported on the last
+// one is forgotten until it is reported anew: the engine may have restarted meanwhile, with
+// other weights. The engine's speed and the fencing token outlive that.
+func (l *linkState) reconnect(rpc *jsonrpc2.Conn) {
+	l.rpc, l.lastContact = rpc, time.Now()
+	l.kept = promptcache.Mirror{}
+	l.status = enginelink.Status{Loads: l.status.Loads, Speed: l.status.Speed, Token: l.status.Token}
+}
+
 // applyKept follows what the engine keeps of the prompts it has read.
 func (l *linkState) applyKept(k *enginelink.Kept) {
 	l.mu.Lock()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -10,6 +10,7 @@
 // metrics are the gateway's figures.
 type metrics struct {
 	first    *prometheus.HistogramVec
+	moves    *prometheus.CounterVec
 	requests *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
 	sent     *prometheus.CounterVec
@@ -21,6 +22,9 @@
 		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "sandbarrow_gateway_first_event_seconds", Help: "Time to the first event of a stream.", Buckets: buckets,
 		}, []string{"service"}),
+		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sandbarrow_gateway_moves_total", Help: "Moves of prompt memory between engines that were chosen, by what came of them.",
+		}, []string{"outcome"}),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sandbarrow_gateway_requests_total", Help: "Ended requests, by kind of route, status and reason.",
 		}, []string{"kind", "status", "reason"}),
@@ -31,7 +35,7 @@
 			Name: "sandbarrow_gateway_sent_total", Help: "Requests given to upstreams, by service and whether it was the first time.",
 		}, []string{"service", "first"}),
 	}
-	r.MustRegister(m.first, m.requests, m.seconds, m.sent)
+	r.MustRegister(m.first, m.moves, m.requests, m.seconds, m.sent)
 	return m
 }
 
@@ -39,6 +43,11 @@
 	m.first.WithLabelValues(string(c.service.ID)).Observe(took.Seconds())
 }
 
+// moveSettled counts a move by what came of it.
+func (m *metrics) moveSettled(o moveOutcome) {
+	m.moves.WithLabelValues(string(o)).Inc()
+}
+
 // finished counts an ended call.
 func (m *metrics) finished(c *call, status int, why reason, took time.Duration) {
 	kind := "none"
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -34,7 +34,7 @@
 func (c *call) serveEngine(ctx context.Context) {
 	s := engineSearch{excluded: map[sandbarrow.InstanceID]bool{}, why: reasonNoUpstream}
 	for ctx.Err() == nil && time.Until(c.ends) > leastSend && s.mayAsk() {
-		c.readVersion()
+		c.version = c.namedVersion()
 		e := c.gateway.chooseEngine(c, s.excluded)
 		if s.first() && (e == nil || !c.gateway.engines.anyUp()) && c.awaitEngines(ctx) {
 			continue
@@ -97,7 +97,8 @@
 		s.why = reasonNoUpstream
 		return 0, false
 	}
-	e.granted = grant.Version
+	e.granted = grant.Weights()
+	c.settleMove(e)
 	return grant.Version, true
 }
 
--- a/promptcache/memory.go
+++ b/promptcache/memory.go
@@ -15,7 +15,7 @@
 // no more than that. It is not safe for concurrent use.
 type Memory struct {
 	capacity int
-	entries  map[Prefix]*list.Element
+	entries  map[Key]*list.Element
 	// order has the entries, the one used last in front.
 	order list.List
 	used  int
@@ -27,11 +27,11 @@
 
 // entry is one part that is kept.
 type entry struct {
-	key sandbarrow.AdapterKey
-	own bool
+	adapter sandbarrow.AdapterKey
+	key     Key
+	own     bool
 	// part is the length of the last part alone, stretch that of all.
 	part, stretch int
-	prefix        Prefix
 }
 
 // SetCapacity sets how many tokens the engine keeps.
@@ -40,15 +40,20 @@
 	m.shrink()
 }
 
-// Use notes that the engine has read a prompt.
-func (m *Memory) Use(k sandbarrow.AdapterKey, stretches []Stretch) {
+// Use notes that the engine has read a prompt with weights of a version. Where that is not
+// known, nothing is kept: what was read may not be used again.
+func (m *Memory) Use(k sandbarrow.AdapterKey, v sandbarrow.WeightsVersion, stretches []Stretch) {
+	if !v.Known(k) {
+		return
+	}
 	if m.entries == nil {
-		m.entries = map[Prefix]*list.Element{}
+		m.entries = map[Key]*list.Element{}
 	}
 	// The longest first, so that a part gives way before those that it builds on.
 	for i := len(stretches) - 1; i >= 0; i-- {
 		s := stretches[i]
-		if e := m.entries[s.Prefix]; e != nil {
+		key := s.Prefix.key(v)
+		if e := m.entries[key]; e != nil {
 			m.order.MoveToFront(e)
 			continue
 		}
@@ -56,25 +61,25 @@
 		if i > 0 {
 			part -= stretches[i-1].Tokens
 		}
-		m.entries[s.Prefix] = m.order.PushFront(&entry{key: k, own: s.Own, part: part, prefix: s.Prefix, stretch: s.Tokens})
+		m.entries[key] = m.order.PushFront(&entry{adapter: k, key: key, own: s.Own, part: part, stretch: s.Tokens})
 		m.used += part
 		if !s.Own {
-			m.record(Change{Prefix: s.Prefix, Tokens: s.Tokens})
+			m.record(Change{Key: key, Tokens: s.Tokens})
 		}
 	}
 	m.shrink()
 }
 
-// Kept is how many tokens from the start of a prompt are kept.
-func (m *Memory) Kept(stretches []Stretch) int {
-	return longest(stretches, func(p Prefix) bool { return m.entries[p] != nil })
+// Kept is how many tokens from the start of a prompt are kept for weights of a version.
+func (m *Memory) Kept(v sandbarrow.WeightsVersion, stretches []Stretch) int {
+	return longest(v, stretches, func(k Key) bool { return m.entries[k] != nil })
 }
 
-// Drop forgets what is kept for an adapter, as its unload does.
+// Drop forgets what is kept for an adapter, as its unload or replacement does.
 func (m *Memory) Drop(k sandbarrow.AdapterKey) {
 	for e := m.order.Front(); e != nil; {
 		next := e.Next()
-		if e.Value.(*entry).key == k {
+		if e.Value.(*entry).adapter == k {
 			m.remove(e)
 		}
 		e = next
@@ -97,7 +102,7 @@
 	}
 	for e := m.order.Front(); e != nil; e = e.Next() {
 		if kept := e.Value.(*entry); !kept.own {
-			changes = append(changes, Change{Prefix: kept.prefix, Tokens: kept.stretch})
+			changes = append(changes, Change{Key: kept.key, Tokens: kept.stretch})
 		}
 	}
 	return changes, true, max(next, 1)
@@ -112,10 +117,10 @@
 
 func (m *Memory) remove(e *list.Element) {
 	gone := m.order.Remove(e).(*entry)
-	delete(m.entries, gone.prefix)
+	delete(m.entries, gone.key)
 	m.used -= gone.part
 	if !gone.own {
-		m.record(Change{Prefix: gone.prefix})
+		m.record(Change{Key: gone.key})
 	}
 }
 
--- a/promptcache/promptcache.go
+++ b/promptcache/promptcache.go
@@ -15,11 +15,25 @@
 	"sandbarrow.example/sandbarrow"
 )
 
-// Prefix stands for an adapter at a version and the parts of a prompt from its start up
-// to one of them. Engines keep a part only with all parts before it, and for the same
-// weights. Two prefixes in a few billion are taken for the same.
+// Prefix stands for an adapter and the parts of a prompt from its start up to one of them,
+// whatever the versions of the weights. Two prefixes in a few billion are taken for the
+// same.
 type Prefix uint32
 
+// Key stands for a prefix as an engine has read it, with weights of one version. Engines
+// keep a part only with all parts before it. It is a type of its own so that no prefix is
+// looked up without the weights that made what is kept of it.
+type Key uint32
+
+// key returns the key of a prefix that was read with weights of a version.
+func (p Prefix) key(v sandbarrow.WeightsVersion) Key {
+	var text [20]byte
+	binary.LittleEndian.PutUint32(text[:], uint32(p))
+	binary.LittleEndian.PutUint64(text[4:], uint64(v.Model))
+	binary.LittleEndian.PutUint64(text[12:], uint64(v.Adapter))
+	return Key(xxhash.Sum64(text[:]))
+}
+
 // Stretch is a prompt from its start up to the end of one part.
 type Stretch struct {
 	// Own says that the last part belongs to the request alone, or to its session.
@@ -35,19 +49,16 @@
 // from it (-0.001 ± 0.004 of worth, 15 pairs of days).
 const leastShared = 1000
 
-// Stretches returns the stretches of a prompt, the shortest first, from its list of
-// parts: ID:TOKENS, separated by commas. It returns none where the shared parts are too
+// Stretches returns the stretches of a prompt for an adapter, the shortest first, from its
+// list of parts: ID:TOKENS, separated by commas. It returns none where the shared parts are too
 // short to matter. What is malformed ends the list: a request is served without an
 // estimate.
-func Stretches(k sandbarrow.AdapterKey, v sandbarrow.AdapterVersion, parts string) []Stretch {
+func Stretches(k sandbarrow.AdapterKey, parts string) []Stretch {
 	if parts == "" {
 		return nil
 	}
 	digest := xxhash.New()
 	_, _ = digest.WriteString(string(k.Model) + "/" + string(k.Adapter)) // a digest never fails
-	var version [8]byte
-	binary.LittleEndian.PutUint64(version[:], uint64(v))
-	_, _ = digest.Write(version[:])
 	var list []Stretch
 	length := 0
 	for part := range strings.SplitSeq(parts, ",") {
@@ -70,14 +81,15 @@
 // Change says that an engine keeps a stretch of so many tokens from now on, or no
 // longer where Tokens is 0.
 type Change struct {
-	Prefix Prefix `json:"h"`
-	Tokens int    `json:"t,omitempty"`
+	Key    Key `json:"h"`
+	Tokens int `json:"t,omitempty"`
 }
 
-// longest returns the tokens of the longest stretch that is kept.
-func longest(stretches []Stretch, kept func(Prefix) bool) int {
+// longest returns the tokens of the longest stretch that is kept of those read with
+// weights of a version.
+func longest(v sandbarrow.WeightsVersion, stretches []Stretch, kept func(Key) bool) int {
 	for i := len(stretches) - 1; i >= 0; i-- {
-		if kept(stretches[i].Prefix) {
+		if kept(stretches[i].Prefix.key(v)) {
 			return stretches[i].Tokens
 		}
 	}
--- a/promptcache/promptcache_test.go
+++ b/promptcache/promptcache_test.go
@@ -28,45 +28,87 @@
 		"ab:400,cd:500,ef:7":    {},
 	} {
 		got := []int{}
-		for _, s := range Stretches(adapter("a"), 1, parts) {
+		for _, s := range Stretches(adapter("a"), parts) {
 			got = append(got, s.Tokens)
 		}
 		assert.DeepEqual(t, got, lengths)
 	}
-	a := Stretches(adapter("a"), 1, "ab:1000,cd:50,ef:7")
+	a := Stretches(adapter("a"), "ab:1000,cd:50,ef:7")
 	assert.DeepEqual(t, []bool{a[0].Own, a[1].Own, a[2].Own}, []bool{false, false, true})
-	same := Stretches(adapter("a"), 1, "ab:1000,cd:50,99:7")
+	same := Stretches(adapter("a"), "ab:1000,cd:50,99:7")
 	assert.Equal(t, same[1].Prefix, a[1].Prefix)
 	assert.Assert(t, same[2].Prefix != a[2].Prefix)
 	for _, other := range [][]Stretch{
-		Stretches(adapter("b"), 1, "ab:1000,cd:50"), Stretches(adapter("a"), 2, "ab:1000,cd:50"), Stretches(adapter("a"), 1, "cd:1000,cd:50"),
+		Stretches(adapter("b"), "ab:1000,cd:50"), Stretches(adapter("a"), "cd:1000,cd:50"),
 	} {
-		assert.Assert(t, other[0].Prefix != a[0].Prefix, "other weights, or another start")
+		assert.Assert(t, other[0].Prefix != a[0].Prefix, "another adapter, or another start")
 		assert.Assert(t, other[1].Prefix != a[1].Prefix)
 	}
+	keys := map[Key]bool{}
+	for _, v := range []sandbarrow.WeightsVersion{{}, {Adapter: 1, Model: 1}, {Adapter: 2, Model: 1}, {Adapter: 1, Model: 2}, {Model: 1}, {Adapter: 1}} {
+		keys[a[0].Prefix.key(v)] = true
+	}
+	assert.Equal(t, len(keys), 6, "a key names the versions of the adapter and of the base model")
 }
 
+// What an engine keeps is kept for the weights that made it, and for no other ones. What
+// was made with weights of a version that is not known is not kept at all.
+func TestMemoryIsOfOneVersion(t *testing.T) {
+	var m Memory
+	var mirror Mirror
+	m.SetCapacity(100_000)
+	k := adapter("a")
+	s := Stretches(k, "s:1000,x:10")
+	versions := []sandbarrow.WeightsVersion{{Adapter: 1, Model: 1}, {Adapter: 1, Model: 7}, {Adapter: 2, Model: 1}}
+	for i, v := range versions {
+		m.Use(k, v, s)
+		changes, all, _ := m.Changes(0)
+		mirror.Apply(changes, all)
+		for j, other := range versions {
+			want := 0
+			if j <= i {
+				want = 1000
+			}
+			assert.Equal(t, mirror.Kept(other, s), want)
+			assert.Equal(t, m.Kept(other, s) > 0, j <= i)
+		}
+	}
+	m.Clear()
+	for _, v := range []sandbarrow.WeightsVersion{{}, {Adapter: 1}, {Model: 1}} {
+		m.Use(k, v, s)
+		assert.Equal(t, m.Kept(v, s), 0, "%+v says not which weights of an adapter run", v)
+	}
+	base := sandbarrow.AdapterKey{Model: "base"}
+	s = Stretches(base, "s:1000,x:10")
+	m.Use(base, sandbarrow.WeightsVersion{Model: 7}, s)
+	assert.Equal(t, m.Kept(sandbarrow.WeightsVersion{Model: 7}, s), 1010, "the base model alone")
+	assert.Equal(t, m.Kept(sandbarrow.WeightsVersion{Model: 1}, s), 0)
+}
+
+// first is the version of the weights in tests where it does not matter.
+var first = sandbarrow.WeightsVersion{Adapter: 1, Model: 1}
+
 func TestMemory(t *testing.T) {
 	var m Memory
-	prompt := func(k, parts string) []Stretch { return Stretches(adapter(k), 1, parts) }
-	use := func(k, parts string) { m.Use(adapter(k), prompt(k, parts)) }
+	prompt := func(k, parts string) []Stretch { return Stretches(adapter(k), parts) }
+	use := func(k, parts string) { m.Use(adapter(k), first, prompt(k, parts)) }
 	use("a", "s:1000,x:10")
-	assert.Equal(t, m.Kept(prompt("a", "s:1000,y:10")), 0, "its capacity is not known")
+	assert.Equal(t, m.Kept(first, prompt("a", "s:1000,y:10")), 0, "its capacity is not known")
 	m.SetCapacity(4000)
 	use("a", "s:1000,x:10")
-	assert.Equal(t, m.Kept(prompt("a", "s:1000,y:10")), 1000)
-	assert.Equal(t, m.Kept(prompt("a", "s:1000,x:10")), 1010, "its own part too")
-	assert.Equal(t, m.Kept(prompt("b", "s:1000,x:10")), 0, "another adapter")
+	assert.Equal(t, m.Kept(first, prompt("a", "s:1000,y:10")), 1000)
+	assert.Equal(t, m.Kept(first, prompt("a", "s:1000,x:10")), 1010, "its own part too")
+	assert.Equal(t, m.Kept(first, prompt("b", "s:1000,x:10")), 0, "another adapter")
 	use("b", "s:1000,x:1500")
 	use("a", "s:1000,z:10")
 	use("c", "s:1000,w:1")
-	assert.Equal(t, m.Kept(prompt("a", "s:1000,z:10")), 1010)
-	assert.Equal(t, m.Kept(prompt("b", "s:1000,x:1500")), 1000, "the part unused longest gave way")
+	assert.Equal(t, m.Kept(first, prompt("a", "s:1000,z:10")), 1010)
+	assert.Equal(t, m.Kept(first, prompt("b", "s:1000,x:1500")), 1000, "the part unused longest gave way")
 	m.Drop(adapter("a"))
-	assert.Equal(t, m.Kept(prompt("a", "s:1000,z:10")), 0)
-	assert.Equal(t, m.Kept(prompt("c", "s:1000,z:10")), 1000)
+	assert.Equal(t, m.Kept(first, prompt("a", "s:1000,z:10")), 0)
+	assert.Equal(t, m.Kept(first, prompt("c", "s:1000,z:10")), 1000)
 	m.Clear()
-	assert.Equal(t, m.Kept(prompt("c", "s:1000,z:10")), 0)
+	assert.Equal(t, m.Kept(first, prompt("c", "s:1000,z:10")), 0)
 	assert.Equal(t, m.used, 0)
 }
 
@@ -90,7 +132,7 @@
 				at = next
 			default:
 				k := name()
-				memory.Use(adapter(k), Stretches(adapter(k), 1, fmt.Sprintf("%x:900,%x:200,%x:90", random.IntN(3), random.IntN(3), random.IntN(1000))))
+				memory.Use(adapter(k), first, Stretches(adapter(k), fmt.Sprintf("%x:900,%x:200,%x:90", random.IntN(3), random.IntN(3), random.IntN(1000))))
 			}
 			assert.Assert(t, memory.used <= 15_000)
 		}
@@ -99,8 +141,8 @@
 		for k := range 5 {
 			for i := range 3 {
 				for j := range 3 {
-					s := Stretches(adapter(fmt.Sprint(k)), 1, fmt.Sprintf("%x:900,%x:200,none:90", i, j))
-					assert.Equal(t, mirror.Kept(s), memory.Kept(s))
+					s := Stretches(adapter(fmt.Sprint(k)), fmt.Sprintf("%x:900,%x:200,none:90", i, j))
+					assert.Equal(t, mirror.Kept(first, s), memory.Kept(first, s))
 				}
 			}
 		}
