Grant no version known to be old, and end what waits with the engine's start

A request that waited for its adapter was granted the version that its gateway had asked for, though the controller knew a newer one, or one was named while it waited for the prompts before it; nobody looked again before the send. A request that waited across a restart of the engine was granted at the next start: a load in vain, then a refusal by the engine and a retry; a late report that its prompt had been read counted as memory of the new start. Ruled out: that the rule on versions breaks by it in the ordinary case (five seconds are allowed, and both sides know a version within 20 ms); an overloaded engine can take that long. Change: a controller asks for at least the version that it knows; a gateway that finds its grant old unpins and asks anew, also of the same engine; a restart refuses what waits with 'instance' and forgets what was being read. With that the check of a named version in settleMove is needless and goes. explain shows new lines of base models. Measured: TestGrantsNoVersionKnownToBeOld, TestRestartEndsWhatWaits and TestOldGrantIsAskedAnew fail without the change, pass with it.

--- a/controller/acquire.go
+++ b/controller/acquire.go
@@ -49,6 +49,8 @@
 		delete(l.calls, q.ID)
 		return nil, refusal
 	}
+	// A gateway that lags must not get a version that is known to be old.
+	q.Version = max(q.Version, c.namedVersion(p.key))
 	w := c.slots.acquire(c.now(), q, p)
 	a.request = w
 	if !p.granted {
--- a/controller/acquirecall_test.go
+++ b/controller/acquirecall_test.go
@@ -8,6 +8,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/promptcache"
 )
 
 // A gateway that ends an acquire, since its caller has left, keeps neither a place in the
@@ -59,3 +60,77 @@
 	assert.Equal(t, c.usesOf("a"), 0)
 	assert.Equal(t, len(l.pins), 0)
 }
+
+// A gateway that does not know the newest version yet is not granted an older one: the
+// controller knows it and has it loaded first.
+func TestGrantsNoVersionKnownToBeOld(t *testing.T) {
+	f := newFakeEngine(testSlots)
+	f.models = []sandbarrow.BaseModelID{testModel}
+	f.loaded[key("a")] = 1
+	c := newTestController(t, f)
+	step(t, c)
+	c.estate.Update([]sandbarrow.KeyItem{{Key: "a", Revision: 2, Value: []byte{2}}}, 2)
+	rpc := linkTo(t.Context(), c, nil)
+	var g enginelink.Grant
+	done := make(chan error, 1)
+	go func() {
+		ask := enginelink.Acquire{Adapter: "a", ID: "1", Model: testModel, Tokens: 100, Version: 1, WaitMS: 5000}
+		done <- rpc.Call(t.Context(), enginelink.MethodAcquire, ask, &g)
+	}()
+	eventually(t, func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.slots.pending[key("a")] != nil
+	})
+	eventually(t, func() bool {
+		step(t, c)
+		return len(done) > 0
+	})
+	assert.NilError(t, <-done)
+	assert.Equal(t, g.Version, sandbarrow.AdapterVersion(2))
+	assert.Equal(t, g.Refused, enginelink.RefuseReason(""))
+}
+
+// A request that waits for an adapter belongs to the start of the engine that it names: it
+// is refused when the engine has restarted, not granted after a load in vain. A late
+// report that a prompt was read there does not count for the new start.
+func TestRestartEndsWhatWaits(t *testing.T) {
+	f := newFakeEngine(testSlots)
+	f.models = []sandbarrow.BaseModelID{testModel}
+	f.loaded[key("a")], f.sequence = 1, 5
+	c := newTestController(t, f)
+	step(t, c)
+	rpc := linkTo(t.Context(), c, nil)
+	s := promptcache.Stretches(key("a"), "ab:3000,cd:500,ef:100")
+	var read enginelink.Grant
+	ask := enginelink.Acquire{Adapter: "a", ID: "read", Model: testModel, Stretches: s, Tokens: 3600, WaitMS: 100}
+	assert.NilError(t, rpc.Call(t.Context(), enginelink.MethodAcquire, ask, &read))
+	assert.Equal(t, read.Refused, enginelink.RefuseReason(""))
+
+	var waiting enginelink.Grant
+	done := make(chan error, 1)
+	go func() {
+		ask := enginelink.Acquire{Adapter: "b", ID: "waits", Model: testModel, Tokens: 100, WaitMS: 5000}
+		done <- rpc.Call(t.Context(), enginelink.MethodAcquire, ask, &waiting)
+	}()
+	eventually(t, func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.slots.pending[key("b")] != nil
+	})
+	f.restart()
+	step(t, c)
+	assert.NilError(t, <-done)
+	assert.Equal(t, waiting.Refused, enginelink.RefuseInstance)
+
+	assert.NilError(t, rpc.Notify(t.Context(), enginelink.MethodBegun, enginelink.Pin{ID: "read"}))
+	assert.NilError(t, rpc.Notify(t.Context(), enginelink.MethodDone, enginelink.Pin{ID: "read"}))
+	eventually(t, func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.slots.pins[key("a")] == 0
+	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	assert.Equal(t, c.slots.kept.Kept(read.Weights(), s), 0)
+}
--- a/controller/engineloop.go
+++ b/controller/engineloop.go
@@ -67,7 +67,7 @@
 	if r.Sequence < c.sequence {
 		c.logger.Warn("engine restarted", "sequence", r.Sequence, "before", c.sequence, "instance", string(c.instance))
 		c.instance = ""
-		c.slots.kept.Clear()
+		c.slots.restarted(c.now())
 	}
 	if r.Draining && !c.reported.Draining {
 		c.logger.Info("engine draining")
--- a/controller/slots.go
+++ b/controller/slots.go
@@ -208,6 +208,16 @@
 	s.kept.Drop(key)
 }
 
+// restarted ends what belongs to the engine's last start. The requests that wait name that
+// start: the engine would refuse them after a load for nothing, and each would take a
+// retry. What has been read for them is gone, also where a report of it is still on its
+// way.
+func (s *slots) restarted(now time.Time) {
+	s.reading.unread = nil
+	s.refuseAll(now, enginelink.RefuseInstance)
+	s.kept.Clear()
+}
+
 // refuseAll refuses all that wait.
 func (s *slots) refuseAll(now time.Time, reason enginelink.RefuseReason) {
 	for _, w := range s.toRead.removeAll() {
--- a/explain/story.go
+++ b/explain/story.go
@@ -91,7 +91,7 @@
 
 // learnt are the messages about what a process learnt, never about another request.
 var learnt = map[string]bool{
-	"adapter version named": true, "configuration in force": true, "controller linked": true, "controller lost": true,
+	"adapter version named": true, "base model loaded": true, "base model version named": true, "configuration in force": true, "controller linked": true, "controller lost": true,
 	"engine identified": true, "engine draining": true, "engine lost": true, "engine regained": true, "engine restarted": true,
 	"fencing token": true, "gateway stops": true, "started": true, "stopped": true, "store lost": true, "store regained": true,
 	"upstream listed": true, "upstream no longer listed": true, "upstreams learnt from a peer": true,
--- a/gateway/enginesearch_test.go
+++ b/gateway/enginesearch_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -36,3 +37,28 @@
 	}
 	assert.Assert(t, !s.mayAsk())
 }
+
+// A request that was granted a version which is old by now asks anew for the one that was
+// named meanwhile, and its engine may be asked again.
+func TestOldGrantIsAskedAnew(t *testing.T) {
+	g := chooserOf(t, statusOf(oldWeights))
+	named := func(v string, at sandbarrow.StoreRevision) {
+		g.estate.Update([]sandbarrow.KeyItem{{Key: "op/table", Revision: 1, Value: []byte("{}")}, {Key: "op/version/a", Revision: at, Value: []byte(v)}}, at)
+	}
+	named("1", 2)
+	c := callFor(g, "a", 100)
+	c.ends, c.callerEnds = c.began.Add(time.Second), c.began.Add(time.Second)
+	c.version = c.namedVersion()
+	e := &candidate{instance: g.directory.View().Service(testEngines)[0]}
+	s := engineSearch{excluded: map[sandbarrow.InstanceID]bool{}}
+
+	named("2", 3)
+	_, pinned := c.pinAt(t.Context(), &s, e)
+	assert.Assert(t, !pinned, "version 2 has been named")
+	assert.Assert(t, s.first() && s.acquires == 0, "the engine may be asked again")
+
+	c.version = c.namedVersion()
+	version, pinned := c.pinAt(t.Context(), &s, e)
+	assert.Assert(t, pinned)
+	assert.Equal(t, version, sandbarrow.AdapterVersion(2))
+}
--- a/gateway/promptmove.go
+++ b/gateway/promptmove.go
@@ -28,8 +28,6 @@
 const (
 	// moveSent means that the engine was told to take the memory.
 	moveSent moveOutcome = "sent"
-	// moveNewer means that the operators have named a newer version than runs.
-	moveNewer moveOutcome = "newer-version"
 	// moveSource means that the other engine keeps the memory no longer, as far as known.
 	moveSource moveOutcome = "source"
 	// moveWeights means that the engine runs other weights than made the memory.
@@ -148,8 +146,7 @@
 // a newer version may have come, or the other engine may have replaced its own. An
 // engine that ran on memory of other weights would give wrong answers that look sound.
 //
-// Inputs: the versions of the grant, the last report of the other engine, and the version
-// that the operators have named last.
+// Inputs: the versions of the grant and the last report of the other engine.
 func (c *call) settleMove(e *candidate) {
 	if e.move.tokens == 0 {
 		return
@@ -167,8 +164,6 @@
 	switch {
 	case granted != s.weights:
 		return moveWeights
-	case granted.Adapter < c.namedVersion():
-		return moveNewer // the other engine is about to replace it
 	case s.link.keeps(time.Now(), s.instance, c, granted) < s.tokens:
 		return moveSource
 	}
--- a/gateway/promptmove_test.go
+++ b/gateway/promptmove_test.go
@@ -117,7 +117,6 @@
 func movingCall(t *testing.T) (*call, *candidate) {
 	t.Helper()
 	g := chooserOf(t, statusOf(oldWeights))
-	g.estate.Update([]sandbarrow.KeyItem{{Key: "op/table", Revision: 1, Value: []byte("{}")}}, 1)
 	c := callFor(g, "a", 9000)
 	c.stretches = promptcache.Stretches(testKey, "5c:8000,01:1000")
 	source := g.directory.View().Service(testEngines)[0]
@@ -140,13 +139,10 @@
 		change func(c *call, e *candidate, source *controllerLink)
 		want   moveOutcome
 	}{
-		"as predicted":      {func(*call, *candidate, *controllerLink) {}, moveSent},
-		"a newer adapter":   {func(_ *call, e *candidate, _ *controllerLink) { e.granted = newAdapter }, moveWeights},
-		"a newer base":      {func(_ *call, e *candidate, _ *controllerLink) { e.granted = newBase }, moveWeights},
-		"base not reported": {func(_ *call, e *candidate, _ *controllerLink) { e.granted.Model = 0 }, moveWeights},
-		"a newer version was named": {func(c *call, _ *candidate, _ *controllerLink) {
-			c.gateway.estate.Update([]sandbarrow.KeyItem{{Key: "op/version/a", Revision: 2, Value: []byte("2")}}, 2)
-		}, moveNewer},
+		"as predicted":                        {func(*call, *candidate, *controllerLink) {}, moveSent},
+		"a newer adapter":                     {func(_ *call, e *candidate, _ *controllerLink) { e.granted = newAdapter }, moveWeights},
+		"a newer base":                        {func(_ *call, e *candidate, _ *controllerLink) { e.granted = newBase }, moveWeights},
+		"base not reported":                   {func(_ *call, e *candidate, _ *controllerLink) { e.granted.Model = 0 }, moveWeights},
 		"the source has replaced the adapter": {func(_ *call, _ *candidate, l *controllerLink) { l.applyStatus(statusOf(newAdapter)) }, moveSource},
 		"the source replaces the adapter": {func(_ *call, _ *candidate, l *controllerLink) {
 			s := statusOf(oldWeights)
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -28,6 +28,9 @@
 // refuseNoAnswer stands in logs for a controller that did not answer.
 const refuseNoAnswer enginelink.RefuseReason = "no-answer"
 
+// causeNewerVersion stands in logs for a grant of a version that is old by now.
+const causeNewerVersion = "newer-version"
+
 // serveEngine serves a request that an engine runs: it chooses an engine, pins the
 // adapter there, sends the request and passes the answer on, until an engine has
 // answered or the request may not be sent again.
@@ -86,6 +89,13 @@
 		s.busy++
 		return 0, false
 	}
+	if granted && grant.Version < c.namedVersion() {
+		// A newer version was named while the request waited for its adapter and for the
+		// prompts before it: it is asked for anew, also of this engine.
+		c.unpin(e)
+		c.logAttempt(e.instance.ID, "no-grant", causeNewerVersion, e)
+		return 0, false
+	}
 	s.asked(e.instance.ID, grant.Refused)
 	if !granted {
 		s.why = reasonSlots
