--- a/estate/estate_test.go
+++ b/estate/estate_test.go
@@ -102,3 +102,18 @@
 	assert.Equal(t, items[0].Key, "a1")
 	assert.Equal(t, mark, sandbarrow.StoreRevision(8))
 }
+
+// The story of the failure: operators name a version of an adapter, and a process hears
+// of it before it has seen any table of routes. There is no state to put in force yet,
+// but the change counts as known, so that no later reading brings it again: once the
+// table is there, all requests ask for no version at all, for as long as the process runs.
+func TestVersionNamedBeforeTheFirstTable(t *testing.T) {
+	e := newEstate()
+	named := sandbarrow.KeyItem{Key: "a1", Revision: 1, Value: []byte("2")}
+	e.Update([]sandbarrow.KeyItem{named}, 1)
+	e.Update([]sandbarrow.KeyItem{table(2, "4")}, 2)
+	key := sandbarrow.AdapterKey{Adapter: "a1"}
+	assert.Equal(t, e.View().Version(key), sandbarrow.AdapterVersion(2))
+	e.Replace([]sandbarrow.KeyItem{named, table(2, "4")}, 2)
+	assert.Equal(t, e.View().Version(key), sandbarrow.AdapterVersion(2))
+}
