Merge what is read of the list by each upstream's revision, and keep versions named before the first table

Cause: the list of upstreams was merged in three places; only what peers tell was compared with what is known, and with the mark alone. In estate the only place that kept versions was the view, which does not exist before a table. Ruled out: a record of each removal. The view holds every entry up to its mark, so an entry that is not held and not newer than the mark has been removed: no tombstone is kept, none can be dropped too early, and memory does not grow. This rests on each answer being complete from a mark that this process had; prefixwatch and Learn's check of gaps see to that. Change: merge.go is the one way in for the own watch, whole reads and peers, in the order of revisions. A whole read takes out nothing that is known from a newer revision. A late answer confirms nothing. Adopt compares and applies under one lock. A change that a page brought ahead of its turn is told to others. A second removal during a grace leaves the first grace running; the end of one grace does not end a later one. estate keeps what it has applied apart from the view in force. Conclusion: what is known of an upstream does not go back, in whatever order news arrives.

--- a/directory/change.go
+++ b/directory/change.go
@@ -1,12 +1,6 @@
 package directory
 
-import (
-	"cmp"
-	"maps"
-	"slices"
-
-	"sandbarrow.example/sandbarrow"
-)
+import "sandbarrow.example/sandbarrow"
 
 // Change is a part of the list's history, as gateways send each other.
 type Change struct {
@@ -37,8 +31,7 @@
 	if d.at == 0 || c.Since > d.at || c.Mark <= d.at {
 		return
 	}
-	newer := slices.DeleteFunc(slices.Clone(c.Items), func(it sandbarrow.KeyItem) bool { return it.Revision <= d.at })
-	d.advance(newer, c.Mark)
+	d.advance(c.Items, c.Mark)
 }
 
 // Mark is the revision up to which the list is complete.
@@ -51,28 +44,10 @@
 // advance applies changes. The caller holds mu.
 func (d *Directory) advance(items []sandbarrow.KeyItem, at sandbarrow.StoreRevision) Change {
 	change := Change{Since: d.at, Mark: at}
-	d.confirm(at)
 	if len(items) == 0 {
+		d.confirm(at) // the most frequent news, which needs no new view
 		return change
 	}
-	last := map[sandbarrow.InstanceID]bool{}
-	changed := map[sandbarrow.InstanceID]sandbarrow.KeyItem{}
-	for _, it := range items {
-		id := d.list.InstanceID(it.Key)
-		returned := last[id] // it was removed before in these changes
-		last[id] = it.Gone
-		if it.Gone || d.apply(it) || returned {
-			changed[id] = it
-		}
-	}
-	change.Items = slices.SortedFunc(maps.Values(changed), func(a, b sandbarrow.KeyItem) int { return cmp.Compare(a.Revision, b.Revision) })
-	var left []sandbarrow.InstanceID
-	for id, removed := range last {
-		if removed {
-			left = append(left, id)
-		}
-	}
-	d.remove(left)
-	d.publish()
+	change.Items = d.merge(news{items: items, at: at})
 	return change
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -2,7 +2,8 @@
 // owns this process's view of the list; while the list can't be read, the last view
 // stays. It relies on sandbarrow.InstanceList to read entries, and on package
 // prefixwatch or a peer to bring them; gateways use it. All methods of Directory are
-// safe for concurrent use. lapse.go decides what it means that upstreams are missing.
+// safe for concurrent use. merge.go decides what of that news is newer than what is known;
+// lapse.go decides what it means that upstreams are missing.
 package directory
 
 import (
@@ -37,8 +38,9 @@
 	recoveredAt time.Time
 	// newest is when an upstream was listed that was not known.
 	newest time.Time
-	// lapsed are upstreams that are not listed and stay in use for lapseGrace.
-	lapsed  map[sandbarrow.InstanceID]bool
+	// lapsed are upstreams that stay in use for lapseGrace though they left the list, with
+	// the revision at which they left; it tells one grace from the next.
+	lapsed  map[sandbarrow.InstanceID]sandbarrow.StoreRevision
 	entries map[sandbarrow.InstanceID]listed
 }
 
@@ -46,7 +48,7 @@
 func New(list sandbarrow.InstanceList, logger *slog.Logger) *Directory {
 	return &Directory{
 		entries: map[sandbarrow.InstanceID]listed{},
-		lapsed:  map[sandbarrow.InstanceID]bool{},
+		lapsed:  map[sandbarrow.InstanceID]sandbarrow.StoreRevision{},
 		list:    list,
 		logger:  logger,
 	}
@@ -58,13 +60,17 @@
 }
 
 // Items returns the entries and the revision that they stand for, for a peer
-// that can't read the store.
+// that can't read the store. An upstream in its grace is followed by its removal, so
+// that it does not stay listed at the peer when its grace is over here.
 func (d *Directory) Items() ([]sandbarrow.KeyItem, sandbarrow.StoreRevision) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	items := make([]sandbarrow.KeyItem, 0, len(d.entries))
-	for _, l := range d.entries {
+	items := make([]sandbarrow.KeyItem, 0, len(d.entries)+len(d.lapsed))
+	for id, l := range d.entries {
 		items = append(items, l.item)
+		if _, lapsed := d.lapsed[id]; lapsed {
+			items = append(items, sandbarrow.KeyItem{Key: l.item.Key, Gone: true, Revision: d.at})
+		}
 	}
 	return items, d.at
 }
@@ -73,12 +79,12 @@
 // whether it did.
 func (d *Directory) Adopt(items []sandbarrow.KeyItem, at sandbarrow.StoreRevision) bool {
 	d.mu.Lock()
-	newer := at > d.at && len(items) > 0
-	d.mu.Unlock()
-	if newer {
-		d.Replace(items, at)
+	defer d.mu.Unlock()
+	if at <= d.at || len(items) == 0 {
+		return false
 	}
-	return newer
+	d.merge(news{items: items, at: at, whole: true})
+	return true
 }
 
 // Age is how long ago the view was confirmed, by the store or a peer.
@@ -95,42 +101,34 @@
 	return d.newest
 }
 
-// Replace applies the whole list.
+// Replace applies the whole list as it stood at a revision.
 func (d *Directory) Replace(items []sandbarrow.KeyItem, at sandbarrow.StoreRevision) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.confirm(at)
-	present := map[sandbarrow.InstanceID]bool{}
-	for _, it := range items {
-		present[d.list.InstanceID(it.Key)] = true
-		d.apply(it)
-	}
-	var left []sandbarrow.InstanceID
-	for id := range d.entries {
-		if !present[id] {
-			left = append(left, id)
-		}
-	}
-	d.remove(left)
-	d.publish()
+	d.merge(news{items: items, at: at, whole: true})
 }
 
-// confirm keeps that the view stands for a revision now. The caller holds mu.
+// confirm keeps that the view stands for a revision now. What stands for an older one
+// came late and says nothing of now. The caller holds mu.
 func (d *Directory) confirm(at sandbarrow.StoreRevision) {
+	if at < d.at {
+		return
+	}
 	now := time.Now()
 	if !d.confirmedAt.IsZero() && now.Sub(d.confirmedAt) > outageAfter {
 		d.recoveredAt = now
 	}
-	d.at, d.confirmedAt = max(d.at, at), now
+	d.at, d.confirmedAt = at, now
 }
 
-// apply keeps an entry and reports whether it differs by more than a heartbeat. The
-// caller holds mu.
-func (d *Directory) apply(it sandbarrow.KeyItem) bool {
+// apply keeps an entry that is newer than what is known, and reports whether it could be
+// read and whether it differs by more than a heartbeat; one that can't be read differs
+// from nothing. The caller holds mu.
+func (d *Directory) apply(it sandbarrow.KeyItem) (read, differs bool) {
 	instance, err := d.list.Instance(it)
 	if err != nil {
 		d.logger.Warn("upstream entry refused, the last one stays", "key", it.Key, "error", err.Error())
-		return false
+		return false, false
 	}
 	old, known := d.entries[instance.ID]
 	if !known {
@@ -140,10 +138,10 @@
 		d.logger.Info("upstream listed", "upstream", string(instance.ID), "address", instance.Address,
 			"service", string(instance.Service), "leaving", instance.Draining, "revision", uint64(it.Revision))
 	}
-	returned := d.lapsed[instance.ID]
+	_, returned := d.lapsed[instance.ID]
 	delete(d.lapsed, instance.ID)
 	d.entries[instance.ID] = listed{instance: instance, item: it}
-	return !known || returned || !sameButHeld(&old.instance, &instance)
+	return true, !known || returned || !sameButHeld(&old.instance, &instance)
 }
 
 // sameButHeld reports whether two entries are the same but for the adapters held.
--- a/directory/lapse.go
+++ b/directory/lapse.go
@@ -1,7 +1,7 @@
 package directory
 
 import (
-	"slices"
+	"maps"
 	"time"
 
 	"sandbarrow.example/sandbarrow"
@@ -32,34 +32,42 @@
 	return sinceOutage >= 0 && sinceOutage < lapseWindow && left > 1 && left*lapseParts >= all
 }
 
-// remove takes upstreams that left the list out of use, at once or, after a lapse,
-// when lapseGrace is over. The caller holds mu.
-func (d *Directory) remove(left []sandbarrow.InstanceID) {
-	left = slices.DeleteFunc(left, func(id sandbarrow.InstanceID) bool {
+// remove takes upstreams that left the list, each since a revision, out of use: at once
+// or, after a lapse, when lapseGrace is over. The caller holds mu.
+func (d *Directory) remove(left map[sandbarrow.InstanceID]sandbarrow.StoreRevision) {
+	maps.DeleteFunc(left, func(id sandbarrow.InstanceID, _ sandbarrow.StoreRevision) bool {
 		_, known := d.entries[id]
-		return !known
+		_, lapsed := d.lapsed[id]
+		return !known || lapsed // the grace that runs decides
 	})
 	sinceOutage := time.Duration(-1)
 	if !d.recoveredAt.IsZero() {
 		sinceOutage = time.Since(d.recoveredAt)
 	}
 	lapse := isLapse(len(left), len(d.entries), sinceOutage)
-	for _, id := range left {
+	for id, at := range left {
 		d.logger.Info("upstream no longer listed", "upstream", string(id), "address", d.entries[id].instance.Address, "together", len(left))
 		if !lapse {
 			delete(d.entries, id)
 			continue
 		}
-		d.lapsed[id] = true
-		time.AfterFunc(lapseGrace, func() { d.expire(id) })
+		d.beginGrace(id, at)
 	}
 }
 
-// expire ends the grace of an upstream that has not listed itself again.
-func (d *Directory) expire(id sandbarrow.InstanceID) {
+// beginGrace keeps an upstream that left the list in use until lapseGrace is over. The
+// caller holds mu.
+func (d *Directory) beginGrace(id sandbarrow.InstanceID, at sandbarrow.StoreRevision) {
+	d.lapsed[id] = at
+	time.AfterFunc(lapseGrace, func() { d.expire(id, at) })
+}
+
+// expire ends the grace of an upstream that has not listed itself again since it left at
+// a revision.
+func (d *Directory) expire(id sandbarrow.InstanceID, at sandbarrow.StoreRevision) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.lapsed[id] {
+	if left, lapsed := d.lapsed[id]; lapsed && left == at {
 		delete(d.lapsed, id)
 		delete(d.entries, id)
 		d.publish()
--- a/directory/lapse_test.go
+++ b/directory/lapse_test.go
@@ -1,10 +1,13 @@
 package directory
 
 import (
+	"log/slog"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"sandbarrow.example/sandbarrow"
 )
 
 func TestIsLapse(t *testing.T) {
@@ -23,3 +26,53 @@
 		assert.Equal(t, isLapse(tc.left, tc.all, tc.sinceOutage), tc.want, name)
 	}
 }
+
+// An upstream in its grace at a peer has a grace here too, and does not stay listed for
+// want of a second word of its end.
+func TestGraceAtAPeerEndsHereToo(t *testing.T) {
+	peer := newDirectory()
+	peer.confirmedAt = time.Now().Add(-2 * outageAfter)
+	peer.Update([]sandbarrow.KeyItem{gone("a", 6), gone("b", 7), gone("c", 8)}, 8)
+	starting := New(list{}, slog.New(slog.DiscardHandler))
+	assert.Assert(t, starting.Adopt(peer.Items()))
+	assert.Equal(t, ids(starting, "s"), "a b c d")
+	starting.Learn(Change{Items: []sandbarrow.KeyItem{item("b", 9, "s 2")}, Since: 8, Mark: 9})
+	deadline := time.Now().Add(3 * lapseGrace)
+	for ids(starting, "s") != "b d" && time.Now().Before(deadline) {
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Equal(t, ids(starting, "s"), "b d")
+}
+
+// A late answer with the heartbeat of an upstream before its lapse does not end the grace
+// of one that is gone.
+func TestLateHeartbeatDoesNotEndTheGrace(t *testing.T) {
+	d := newDirectory()
+	d.confirmedAt = time.Now().Add(-2 * outageAfter)
+	d.Update([]sandbarrow.KeyItem{gone("a", 7), gone("b", 8), gone("c", 9)}, 9)
+	d.Update([]sandbarrow.KeyItem{item("a", 6, "s 1")}, 6)
+	assert.Equal(t, len(d.lapsed), 3)
+}
+
+// The end of one grace does not cut short a later one of the same upstream.
+func TestGraceEndsItselfAlone(t *testing.T) {
+	d := newDirectory()
+	d.confirmedAt = time.Now().Add(-2 * outageAfter)
+	d.Update([]sandbarrow.KeyItem{gone("a", 6), gone("b", 7), gone("c", 8)}, 8)
+	d.Update([]sandbarrow.KeyItem{item("a", 9, "s 1"), item("b", 10, "s 2")}, 10)
+	d.Update([]sandbarrow.KeyItem{gone("a", 11), gone("b", 12)}, 12)
+	d.expire("a", 6)
+	assert.Equal(t, ids(d, "s"), "a b c d")
+	d.expire("a", 11)
+	assert.Equal(t, ids(d, "s"), "b c d")
+}
+
+// A late answer says nothing of now.
+func TestLateAnswerConfirmsNothing(t *testing.T) {
+	d := newDirectory()
+	d.confirmedAt = time.Now().Add(-time.Second)
+	d.Update(nil, 4)
+	assert.Assert(t, d.Age() >= time.Second)
+	d.Update(nil, 5)
+	assert.Assert(t, d.Age() < time.Second)
+}
--- a/directory/learn_test.go
+++ b/directory/learn_test.go
@@ -65,3 +65,14 @@
 	assert.Equal(t, d.Mark(), sandbarrow.StoreRevision(0))
 	assert.Assert(t, d.View() == nil)
 }
+
+// A later page of a whole read may be newer than the revision that the read stands for.
+// Others need what it brought, though it changes nothing here when its turn comes.
+func TestChangeAheadOfItsTurnIsTold(t *testing.T) {
+	d, other := newDirectory(), newDirectory()
+	d.Replace([]sandbarrow.KeyItem{
+		item("a", 1, "s 1"), item("b", 2, "s 2"), item("c", 3, "s 3"), item("d", 7, "s 4 leaving"), item("e", 5, "t 5"),
+	}, 5)
+	other.Learn(d.Advance([]sandbarrow.KeyItem{item("d", 7, "s 4 leaving")}, 8))
+	assert.Equal(t, ids(other, "s"), "a b c d!")
+}
--- /dev/null
+++ b/directory/merge.go
@@ -0,0 +1,119 @@
+package directory
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"sandbarrow.example/sandbarrow"
+)
+
+// news is what one answer or message says of the list.
+type news struct {
+	items []sandbarrow.KeyItem
+	// at is the revision up to which the items are complete.
+	at sandbarrow.StoreRevision
+	// whole says that the items are the list as it stood at that revision, not changes.
+	whole bool
+}
+
+// merge applies news and returns what other gateways need of it, if it is changes. All
+// that is read passes here: the own watch, whole reads and what peers tell. Each may have
+// been asked for long ago, so an item counts only where it is newer than what is known of
+// its upstream. The caller holds mu.
+func (d *Directory) merge(n news) []sandbarrow.KeyItem {
+	m := merging{
+		Directory: d,
+		before:    d.at,
+		left:      map[sandbarrow.InstanceID]sandbarrow.StoreRevision{},
+		told:      map[sandbarrow.InstanceID]sandbarrow.KeyItem{},
+	}
+	d.confirm(n.at)
+	for _, it := range slices.SortedFunc(slices.Values(n.items), byRevision) {
+		if m.mergeItem(it, n.whole) {
+			m.told[d.list.InstanceID(it.Key)] = it
+		}
+	}
+	if n.whole {
+		m.leaveAbsent(n)
+	}
+	d.remove(m.left)
+	d.publish()
+	return slices.SortedFunc(maps.Values(m.told), byRevision)
+}
+
+func byRevision(a, b sandbarrow.KeyItem) int { return cmp.Compare(a.Revision, b.Revision) }
+
+// merging is one merge under way.
+type merging struct {
+	*Directory
+	// before is the revision up to which the list was complete before the merge.
+	before sandbarrow.StoreRevision
+	// left holds the upstreams that leave with this merge, and since which revision; they
+	// are taken out together at its end, so that a lapse can be told from ends.
+	left map[sandbarrow.InstanceID]sandbarrow.StoreRevision
+	// told is what other gateways need that are complete up to before.
+	told map[sandbarrow.InstanceID]sandbarrow.KeyItem
+}
+
+// known returns the revision from which an upstream is known: of its entry or, where it is
+// not listed, the one up to which the list is complete. So removals need not be kept: an
+// entry that is not held, and is not newer than the complete list, has been removed.
+func (m *merging) known(id sandbarrow.InstanceID) sandbarrow.StoreRevision {
+	if at, left := m.left[id]; left {
+		return at
+	}
+	l, held := m.entries[id]
+	if _, lapsed := m.lapsed[id]; held && !lapsed {
+		return l.item.Revision
+	}
+	return m.before
+}
+
+// mergeItem applies one item and reports whether other gateways need it.
+func (m *merging) mergeItem(it sandbarrow.KeyItem, whole bool) bool {
+	id := m.list.InstanceID(it.Key)
+	lacked := it.Revision > m.before // by others that are complete as far as this one was
+	if it.Revision <= m.known(id) {
+		return lacked // pages of a whole read may have brought it ahead of its turn
+	}
+	if it.Gone {
+		if !lacked {
+			return false // it has returned since, or it would not be held
+		}
+		m.leave(id, it.Revision, whole)
+		return lacked
+	}
+	_, returned := m.left[id]
+	listed, differs := m.apply(it)
+	if listed {
+		delete(m.left, id)
+	}
+	return lacked && (differs || returned)
+}
+
+// leave notes that an upstream left the list. A peer's whole list says so only of an
+// upstream whose grace runs at the peer, so that it has a grace here too.
+func (m *merging) leave(id sandbarrow.InstanceID, at sandbarrow.StoreRevision, whole bool) {
+	_, held := m.entries[id]
+	_, lapsed := m.lapsed[id]
+	if whole && held && !lapsed {
+		m.beginGrace(id, at)
+		return
+	}
+	m.left[id] = at
+}
+
+// leaveAbsent notes which upstreams a whole list lacks, but for those that are known
+// from a newer revision.
+func (m *merging) leaveAbsent(n news) {
+	present := map[sandbarrow.InstanceID]bool{}
+	for _, it := range n.items {
+		present[m.list.InstanceID(it.Key)] = true
+	}
+	for id := range m.entries {
+		if !present[id] && m.known(id) <= n.at {
+			m.left[id] = n.at
+		}
+	}
+}
--- a/estate/estate.go
+++ b/estate/estate.go
@@ -7,6 +7,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -62,7 +63,10 @@
 	mu      sync.Mutex
 	changed chan struct{}
 	items   map[string]sandbarrow.KeyItem
-	mark    sandbarrow.StoreRevision
+	// latest has all items applied. It is apart from view, which stays nil until there is
+	// a table, so that a version named before that is not lost.
+	latest View
+	mark   sandbarrow.StoreRevision
 }
 
 // New returns an estate that knows nothing yet.
@@ -124,19 +128,16 @@
 	e.changed = make(chan struct{})
 }
 
-// compile puts new items in force. A malformed one keeps the last good one.
+// compile puts new items in force, if there is a table. A malformed one keeps the last good
+// one. The caller holds mu.
 func (e *Estate) compile(items []sandbarrow.KeyItem) {
-	next := View{versions: map[sandbarrow.AdapterKey]sandbarrow.AdapterVersion{}}
-	if old := e.view.Load(); old != nil {
-		next = *old
-		next.versions = make(map[sandbarrow.AdapterKey]sandbarrow.AdapterVersion, len(old.versions))
-		for k, v := range old.versions {
-			next.versions[k] = v
-		}
-	}
+	next := e.latest
+	next.versions = map[sandbarrow.AdapterKey]sandbarrow.AdapterVersion{}
+	maps.Copy(next.versions, e.latest.versions)
 	for _, it := range items {
 		e.apply(&next, it)
 	}
+	e.latest = next
 	if next.Table != nil {
 		e.view.Store(&next)
 	}
--- a/estate/estate_test.go
+++ b/estate/estate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"strconv"
 	"testing"
 
@@ -53,6 +54,16 @@
 	assert.Assert(t, e.View() == nil)
 }
 
+// lastNamed is the version of the adapter that a history named last, or 0.
+func lastNamed(history []sandbarrow.KeyItem) sandbarrow.AdapterVersion {
+	for _, it := range slices.Backward(history) {
+		if it.Key != "table" {
+			return sandbarrow.AdapterVersion(it.Revision)
+		}
+	}
+	return 0
+}
+
 // In whatever order and however often changes arrive, from the store or from
 // peers, the table and the versions never go back, and all sides that have
 // seen the same changes agree.
@@ -90,6 +101,12 @@
 		if (a == nil) != (b == nil) || a != nil && a.Revision != b.Revision {
 			t.Fatal("two sides differ after all changes")
 		}
+		key := sandbarrow.AdapterKey{Adapter: "a1"}
+		for _, v := range []*View{a, b} {
+			if v != nil && v.Version(key) != lastNamed(history) {
+				t.Fatalf("version %d after all changes, want %d", v.Version(key), lastNamed(history))
+			}
+		}
 	})
 }
 
--- a/prefixwatch/prefixwatch.go
+++ b/prefixwatch/prefixwatch.go
@@ -36,7 +36,7 @@
 	longestPause = 800 * time.Millisecond
 )
 
-// Consumer applies what a Watch reads.
+// Consumer applies what a Watch reads. What it was told by others meanwhile may be newer.
 type Consumer interface {
 	// Replace applies all of the prefix as it stood at a revision.
 	Replace(items []sandbarrow.KeyItem, at sandbarrow.StoreRevision)
