--- a/estate/estate_test.go
+++ b/estate/estate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"strconv"
 	"testing"
 
@@ -53,6 +54,16 @@
 	assert.Assert(t, e.View() == nil)
 }
 
+// lastNamed is the version of the adapter that a history named last, or 0.
+func lastNamed(history []sandbarrow.KeyItem) sandbarrow.AdapterVersion {
+	for _, it := range slices.Backward(history) {
+		if it.Key != "table" {
+			return sandbarrow.AdapterVersion(it.Revision)
+		}
+	}
+	return 0
+}
+
 // In whatever order and however often changes arrive, from the store or from
 // peers, the table and the versions never go back, and all sides that have
 // seen the same changes agree.
@@ -90,6 +101,12 @@
 		if (a == nil) != (b == nil) || a != nil && a.Revision != b.Revision {
 			t.Fatal("two sides differ after all changes")
 		}
+		key := sandbarrow.AdapterKey{Adapter: "a1"}
+		for _, v := range []*View{a, b} {
+			if v != nil && v.Version(key) != lastNamed(history) {
+				t.Fatalf("version %d after all changes, want %d", v.Version(key), lastNamed(history))
+			}
+		}
 	})
 }
 
@@ -102,3 +119,18 @@
 	assert.Equal(t, items[0].Key, "a1")
 	assert.Equal(t, mark, sandbarrow.StoreRevision(8))
 }
+
+// The story of the failure: operators name a version of an adapter, and a process hears
+// of it before it has seen any table of routes. There is no state to put in force yet,
+// but the change counts as known, so that no later reading brings it again: once the
+// table is there, all requests ask for no version at all, for as long as the process runs.
+func TestVersionNamedBeforeTheFirstTable(t *testing.T) {
+	e := newEstate()
+	named := sandbarrow.KeyItem{Key: "a1", Revision: 1, Value: []byte("2")}
+	e.Update([]sandbarrow.KeyItem{named}, 1)
+	e.Update([]sandbarrow.KeyItem{table(2, "4")}, 2)
+	key := sandbarrow.AdapterKey{Adapter: "a1"}
+	assert.Equal(t, e.View().Version(key), sandbarrow.AdapterVersion(2))
+	e.Replace([]sandbarrow.KeyItem{named, table(2, "4")}, 2)
+	assert.Equal(t, e.View().Version(key), sandbarrow.AdapterVersion(2))
+}
