Show by a test that a version's weights may change under its name

Cause: config apply accepts another weights path for a version that is in force. Slots, resident lists and queue groups know an adapter by adapter and version alone, so a request pinned to the new path starts on the old weights. Ruled out: that the race of operators is at fault; the swap of the head is by revision, and the loser of a race gets the same acceptance when it applies again. Measured (go test ./config -run 'TestVersionKeepsItsWeights|TestRacingVersions'): both fail, other weights are accepted.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -6,6 +6,9 @@
 	"io"
 	"log/slog"
 	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
 	"testing"
 
 	"github.com/juju/errors"
@@ -160,3 +163,56 @@
 		}
 	})
 }
+
+// TestVersionKeepsItsWeights shows what callers got: version v1 was loaded from one path
+// and in use; operators accepted another path for v1. Engines and their agents know what
+// is loaded by adapter and version alone, so that those which held v1 went on with the
+// old weights, later loads took the new ones, and both answered as v1.
+func TestVersionKeepsItsWeights(t *testing.T) {
+	kv := store.NewMemory()
+	ctx := t.Context()
+	_, _, err := Apply(ctx, kv, sized(3), 0)
+	assert.NilError(t, err)
+	before, _, err := ReadHead(ctx, kv)
+	assert.NilError(t, err)
+
+	changed := sized(3)
+	changed.Adapters[1].Versions[0].Weights = "weights/other"
+	result, _, err := Apply(ctx, kv, changed, 1)
+	assert.Check(t, result == ApplyRefused, "%s: other weights of a version", result)
+	assert.Check(t, err != nil && strings.Contains(err.Error(), `adapter "adapter-1", version "v1"`), "%v", err)
+	after, _, err := ReadHead(ctx, kv)
+	assert.NilError(t, err)
+	assert.Equal(t, after.Revision, before.Revision)
+}
+
+// TestRacingVersions lets two operators name the same new version with other weights:
+// one is accepted, and the other can't replace its weights by reading the new revision.
+func TestRacingVersions(t *testing.T) {
+	kv := store.NewMemory()
+	ctx := t.Context()
+	_, _, err := Apply(ctx, kv, sized(3), 0)
+	assert.NilError(t, err)
+	results := make([]ApplyResult, 2)
+	var wg sync.WaitGroup
+	for i := range results {
+		wg.Go(func() { results[i], _, _ = Apply(ctx, kv, withNewVersion(i), 1) })
+	}
+	wg.Wait()
+	loser := slices.Index(results, ApplyConflict)
+	assert.Assert(t, loser >= 0 && results[1-loser] == ApplyAccepted, "%v", results)
+	result, _, err := Apply(ctx, kv, withNewVersion(loser), 2)
+	assert.Check(t, result == ApplyRefused, "%s: other weights of the accepted version", result)
+	assert.Check(t, err != nil && strings.Contains(err.Error(), `adapter "adapter-1", version "v3"`), "%v", err)
+	result, _, err = Apply(ctx, kv, withNewVersion(1-loser), 2)
+	assert.NilError(t, err)
+	assert.Equal(t, result, ApplyAccepted, "the same weights again")
+}
+
+// withNewVersion is a document with a third version, whose weights the operator chose.
+func withNewVersion(operator int) *Document {
+	d := sized(3)
+	v := Version{ID: "v3", Weights: fmt.Sprint("weights/of-operator/", operator)}
+	d.Adapters[1].Versions = append(d.Adapters[1].Versions, v)
+	return d
+}
