Refuse a configuration that gives a version other weights

Cause: slots, resident lists and queue groups know what is loaded by adapter and version. A version that got other weights was accepted, so its name had two contents. Ruled out: the weights path in the key of slots and queues: adopted adapters are listed by engines by name alone, so that an agent that restarts could not compare. A check by followers: what was accepted must be in force, and stored heads stay readable. Another base model of an adapter: engines that hold its versions aren't chosen for the other base model (by reading), so nothing is reused and it is not refused. Change: config apply compares each version with the head that it replaces (only shards that differ are read) and ends as refused with ErrVersionChanged, which names adapter and version. The swap of the head is at the revision compared, so it holds under races. A shard in force that can't be read refuses too. document() of the tests changed the weights of v1 under its name to make documents differ; it adds a version of its own now, and each document still has its own shard. Conclusion: closed between one configuration and the next.

--- a/config/apply.go
+++ b/config/apply.go
@@ -21,7 +21,8 @@
 	ApplyAccepted ApplyResult = "accepted"
 	// ApplyConflict means that another revision than expected was in force; nothing changed.
 	ApplyConflict ApplyResult = "conflict"
-	// ApplyRefused means that the store refused or the text is not valid; nothing changed.
+	// ApplyRefused means that the store refused, the text is not valid or it gives a
+	// version other weights; nothing changed.
 	ApplyRefused ApplyResult = "refused"
 	// ApplySuperseded means that it was accepted and a later one has followed.
 	ApplySuperseded ApplyResult = "superseded"
@@ -95,6 +96,9 @@
 	if current.Revision != expected {
 		return ApplyConflict, current, errors.Errorf("revision %d is in force, expected %d", current.Revision, expected)
 	}
+	if err := checkVersions(ctx, s, current, snapshot); err != nil {
+		return ApplyRefused, current, errors.Annotate(err, "nothing was changed")
+	}
 	if err := writeShards(ctx, s, snapshot, current); err != nil {
 		return ApplyRefused, current, errors.Annotate(err, "nothing was changed")
 	}
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -74,9 +74,11 @@
 	assert.Assert(t, errors.Is(err, ErrUnknownModel))
 }
 
+// document differs from the others by a version of its own in one shard.
 func document(n int) *Document {
 	d := sized(2)
-	d.Adapters[0].Versions[0].Weights = fmt.Sprint("w", n)
+	v := Version{ID: sandbarrow.VersionID(fmt.Sprint("n", n)), Weights: fmt.Sprint("w", n)}
+	d.Adapters[0].Versions = append(d.Adapters[0].Versions, v)
 	return d
 }
 
@@ -180,6 +182,7 @@
 	changed.Adapters[1].Versions[0].Weights = "weights/other"
 	result, _, err := Apply(ctx, kv, changed, 1)
 	assert.Check(t, result == ApplyRefused, "%s: other weights of a version", result)
+	assert.Check(t, errors.Is(err, ErrVersionChanged), "%v", err)
 	assert.Check(t, err != nil && strings.Contains(err.Error(), `adapter "adapter-1", version "v1"`), "%v", err)
 	after, _, err := ReadHead(ctx, kv)
 	assert.NilError(t, err)
@@ -216,3 +219,39 @@
 	d.Adapters[1].Versions = append(d.Adapters[1].Versions, v)
 	return d
 }
+
+// TestStoredVersionChangeIsRead lets a follower read a head, accepted before, that gives a
+// version other weights: what is stored stays readable and goes into force.
+func TestStoredVersionChangeIsRead(t *testing.T) {
+	f := NewFollower(store.NewMemory(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	for i, weights := range []string{"old", "new"} {
+		d := sized(2)
+		d.Adapters[0].Versions[0].Weights = weights
+		s, err := split(d)
+		assert.NilError(t, err)
+		s.Head.Revision = sandbarrow.Revision(i + 1)
+		assert.NilError(t, f.Offer(s))
+	}
+	assert.Equal(t, f.Mark().Revision, sandbarrow.Revision(2))
+}
+
+// TestVersionsNotCompared loses a shard of the configuration in force: nothing is accepted
+// whose versions can't be compared with it.
+func TestVersionsNotCompared(t *testing.T) {
+	kv := store.NewMemory()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel() // pauses between tries take no time
+	_, head, err := Apply(ctx, kv, document(1), 0)
+	assert.NilError(t, err)
+	for _, digest := range head.Shards {
+		item, err := kv.Get(ctx, shardKey(digest))
+		assert.NilError(t, err)
+		_, err = kv.CompareAndSwap(ctx, shardKey(digest), item.Revision, []byte("{}"), "")
+		if !errors.Is(err, sandbarrow.ErrStoreConflict) { // one digest stands for many empty shards
+			assert.NilError(t, err)
+		}
+	}
+	result, _, err := Apply(ctx, kv, document(2), 1)
+	assert.Equal(t, result, ApplyRefused)
+	assert.Assert(t, errors.Is(err, ErrInvalid), "%v", err)
+}
