Label a kept answer with what made it

Cause: the entry labelled each answer with the model and revision that its own request was resolved to, also one that an earlier request had made under another version. Ruled out: refusing such a repeat, since the kept answer is the right one; the label from the answer's body, which plain services and kept streams do not have in one form. Change: the agent keeps model and revision with the answer of a once-only request (AttemptResult.origin, left out otherwise), and the entry labels the answer with it. Where an agent of an older build does not tell, the entry claims no model and no revision. Conclusion: closed; answers that were not kept are checked against the pinned version as before.

--- a/agent/framesink.go
+++ b/agent/framesink.go
@@ -70,9 +70,11 @@
 	return r
 }
 
-// kept is the result as it is kept for repeats of a once-only request.
+// kept is the result as it is kept for repeats of a once-only request. It names its
+// origin, since a repeat may come under another version.
 func (s *frameSink) kept(r wire.AttemptResult) wire.AttemptResult {
 	if r.Outcome == sandbarrow.OutcomeWhole {
+		r.Origin = &wire.Origin{Model: s.at.req.Model, Revision: s.at.req.Revision}
 		r.Body = s.body
 		r.Frames = 0
 	}
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/config"
@@ -171,12 +172,28 @@
 		return
 	}
 	e.countFirst(r)
+	if result.Origin != nil {
+		labelKept(&r.ctx.Response.Header, *result.Origin)
+	}
 	r.ctx.SetStatusCode(result.Status)
 	r.ctx.SetContentType(result.ContentType)
 	r.ctx.SetBody(result.Body)
 	e.count(r, nil)
 }
 
+// labelKept labels a kept answer with what made it, in place of what its repeat was
+// resolved to. What is not known is not claimed.
+func labelKept(h *fasthttp.ResponseHeader, o wire.Origin) {
+	h.Del(headerModel)
+	h.Del(headerRevision)
+	if !o.Model.IsZero() {
+		h.Set(headerModel, o.Model.String())
+	}
+	if o.Revision != 0 {
+		h.Set(headerRevision, strconv.FormatUint(uint64(o.Revision), 10))
+	}
+}
+
 // answerStream relays frames as they come. A stream that breaks ends in an
 // error event that carries the outcome.
 func (e *Entry) answerStream(ctx context.Context, cancel context.CancelFunc, r *request, j *job, frames []wire.Frame, done <-chan ended) {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -187,6 +187,9 @@
 	case err != nil || j.stream.any():
 		return unknown
 	case result.Outcome == sandbarrow.OutcomeWhole:
+		if result.Origin == nil {
+			result.Origin = &wire.Origin{} // not told: this request's own would be a guess
+		}
 		return verdict{result: result}
 	}
 	v := judge(j, result)
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -74,7 +74,10 @@
 	ContentType string            `json:"content_type,omitempty"`
 	Detail      string            `json:"detail,omitempty"`
 	// Frames is the number of frames that were sent before.
-	Frames  int                `json:"frames,omitempty"`
+	Frames int `json:"frames,omitempty"`
+	// Origin stands with the answer that was kept for repeats; agents of an older
+	// build leave it out.
+	Origin  *Origin            `json:"origin,omitempty"`
 	Outcome sandbarrow.Outcome `json:"outcome"`
 	Reason  sandbarrow.Reason  `json:"reason,omitempty"`
 	// RetryAfterMS tells when to come back, in milliseconds.
@@ -138,6 +141,13 @@
 	ID      sandbarrow.RequestID `json:"id"`
 }
 
+// Origin names what made an answer.
+type Origin struct {
+	// Model is zero for plain services.
+	Model    sandbarrow.ModelRef `json:"model"`
+	Revision sandbarrow.Revision `json:"revision"`
+}
+
 // Status is what an agent tells of itself.
 type Status struct {
 	Config   config.Mark `json:"config"`
