Count an order for the engine's start at which it was decided

Cause: an engine restarts while an order is under way; the order's end was counted for the new start, and a list read before the restart was taken in after it. Ruled out: dropping the slots of such orders at the restart: an order may yet reach the new start, and its place must stay taken (TestOrderKeepsItsPlace). Keeping the requests of a failed load of an earlier start: the load may be why the engine restarted, and would be ordered again at once. Change: the scheduler counts starts and an order carries its own. A load or a failed unload of an earlier start leaves the adapter not loaded; the agent then takes in the engine's list, and only one of the present start. A load decided before a restart that is known is not sent. Measured (go test ./schedule ./agent -run 'AnotherStart|KeepsItsPlace|NextStart|AcrossRestart'): five tests failed before, all pass now; go test ./schedule ./agent passes. Conclusion: closed where the start is known. A load that reaches the new start before the agent has seen it is looked up after the restart is seen, as before.

--- a/agent/orders.go
+++ b/agent/orders.go
@@ -68,6 +68,10 @@
 		a.endOrder(o, errors.Annotate(sandbarrow.ErrUpstreamRefused, "victim not unloaded"))
 		return
 	}
+	if !a.isCurrent(o) {
+		a.endOrder(o, errors.Annotate(sandbarrow.ErrUpstreamRefused, "engine restarted"))
+		return
+	}
 	token, ok := a.token(false)
 	if !ok {
 		a.endOrder(o, errors.Annotate(sandbarrow.ErrUpstreamRefused, "lease not held"))
@@ -79,6 +83,13 @@
 	a.endOrder(o, err)
 }
 
+// isCurrent reports whether an order was decided for the engine's start as far as known.
+func (a *Agent) isCurrent(o schedule.Order) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.scheduler.IsCurrent(o)
+}
+
 func (a *Agent) loadLimit() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -119,8 +130,9 @@
 			a.endWaiting(t, sandbarrow.NotRun(sandbarrow.ReasonLoadFailed, "the adapter did not load", 2*retryPause))
 		}
 	}
-	if err != nil {
-		// The order may have taken effect, or an earlier one whose reply was lost.
+	if err != nil || !a.scheduler.IsCurrent(o) {
+		// The order may have taken effect, or an earlier one whose reply was lost; one
+		// from before a restart may have reached either start.
 		go a.adoptUnknown(a.runCtx)
 	}
 	a.resident++
--- a/agent/state.go
+++ b/agent/state.go
@@ -89,6 +89,9 @@
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if state.Start != a.start {
+		return // a list of another start; the next look finds out which one is newer
+	}
 	for model := range state.Loaded {
 		a.scheduler.Adopt(now, model)
 	}
--- a/schedule/orders.go
+++ b/schedule/orders.go
@@ -16,12 +16,13 @@
 	s.slots[o.Model] = &slot{model: o.Model, state: slotLoading, started: now}
 }
 
-// EvictDone ends the unload of an order. On failure the adapter stays loaded.
+// EvictDone ends the unload of an order. On failure the adapter stays loaded, unless the
+// engine has started anew: then it is gone until the engine lists it.
 func (s *Scheduler) EvictDone(o Order, ok bool) {
 	v := s.slots[o.Evict]
 	switch {
 	case v == nil || v.state != slotUnloading:
-	case ok:
+	case ok, !s.IsCurrent(o):
 		delete(s.slots, o.Evict)
 	default:
 		v.state = slotLoaded
@@ -29,12 +30,17 @@
 }
 
 // LoadDone ends the load of an order. It returns the tickets that gave up
-// because the load failed.
+// because the load failed. A load for an earlier start of the engine loads nothing at
+// this one; its failure counts all the same, since it may be why the engine restarted.
 func (s *Scheduler) LoadDone(now time.Time, o Order, ok bool) []*Ticket {
 	sl := s.slots[o.Model]
 	if sl == nil || sl.state != slotLoading {
 		return nil
 	}
+	if ok && !s.IsCurrent(o) {
+		delete(s.slots, o.Model)
+		return nil
+	}
 	if ok {
 		sl.state, sl.loadedAt, sl.lastUsed = slotLoaded, now, now
 		s.load.add(now, now.Sub(sl.started))
@@ -66,7 +72,7 @@
 	if best == nil {
 		return Order{}, false
 	}
-	o := Order{Model: best.Model, Weights: best.Weights}
+	o := Order{Model: best.Model, Weights: best.Weights, start: s.start}
 	if len(s.slots) < s.options.Slots {
 		return o, true
 	}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -52,6 +52,8 @@
 	Evict   sandbarrow.ModelRef
 	Model   sandbarrow.ModelRef
 	Weights string
+	// start is the engine's start for which the order was decided.
+	start int
 }
 
 // Stats are measurements of one scheduler.
@@ -85,6 +87,8 @@
 	running  int
 	service  estimate
 	slots    map[sandbarrow.ModelRef]*slot
+	// start counts the engine's starts; what is loaded belongs to one of them.
+	start int
 	// startSum adds up when the runs in progress started, since the epoch.
 	startSum time.Duration
 	views    []sandbarrow.SlotView
@@ -191,8 +195,10 @@
 }
 
 // Reset replaces what is loaded as far as known, after a start of the agent or of the
-// engine. keepUntil protects what a previous agent may be running.
+// engine. keepUntil protects what a previous agent may be running. An order under way
+// keeps its place, as it may yet reach the new start; its end counts for the old one.
 func (s *Scheduler) Reset(now time.Time, loaded []sandbarrow.ModelRef, keepUntil time.Time) {
+	s.start++
 	for _, sl := range s.slots {
 		if sl.isHeld() {
 			delete(s.slots, sl.model)
@@ -217,6 +223,11 @@
 	return resident
 }
 
+// IsCurrent reports whether an order was decided for the engine's present start.
+func (s *Scheduler) IsCurrent(o Order) bool {
+	return o.start == s.start
+}
+
 // SetBatchWait changes the longest wait for a batch.
 func (s *Scheduler) SetBatchWait(d time.Duration) {
 	s.options.BatchWait = d
