--- a/config/config_test.go
+++ b/config/config_test.go
@@ -6,6 +6,9 @@
 	"io"
 	"log/slog"
 	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
 	"testing"
 
 	"github.com/juju/errors"
@@ -71,9 +74,11 @@
 	assert.Assert(t, errors.Is(err, ErrUnknownModel))
 }
 
+// document differs from the others by a version of its own in one shard.
 func document(n int) *Document {
 	d := sized(2)
-	d.Adapters[0].Versions[0].Weights = fmt.Sprint("w", n)
+	v := Version{ID: sandbarrow.VersionID(fmt.Sprint("n", n)), Weights: fmt.Sprint("w", n)}
+	d.Adapters[0].Versions = append(d.Adapters[0].Versions, v)
 	return d
 }
 
@@ -160,3 +165,93 @@
 		}
 	})
 }
+
+// TestVersionKeepsItsWeights shows what callers got: version v1 was loaded from one path
+// and in use; operators accepted another path for v1. Engines and their agents know what
+// is loaded by adapter and version alone, so that those which held v1 went on with the
+// old weights, later loads took the new ones, and both answered as v1.
+func TestVersionKeepsItsWeights(t *testing.T) {
+	kv := store.NewMemory()
+	ctx := t.Context()
+	_, _, err := Apply(ctx, kv, sized(3), 0)
+	assert.NilError(t, err)
+	before, _, err := ReadHead(ctx, kv)
+	assert.NilError(t, err)
+
+	changed := sized(3)
+	changed.Adapters[1].Versions[0].Weights = "weights/other"
+	result, _, err := Apply(ctx, kv, changed, 1)
+	assert.Check(t, result == ApplyRefused, "%s: other weights of a version", result)
+	assert.Check(t, errors.Is(err, ErrVersionChanged), "%v", err)
+	assert.Check(t, err != nil && strings.Contains(err.Error(), `adapter "adapter-1", version "v1"`), "%v", err)
+	after, _, err := ReadHead(ctx, kv)
+	assert.NilError(t, err)
+	assert.Equal(t, after.Revision, before.Revision)
+}
+
+// TestRacingVersions lets two operators name the same new version with other weights:
+// one is accepted, and the other can't replace its weights by reading the new revision.
+func TestRacingVersions(t *testing.T) {
+	kv := store.NewMemory()
+	ctx := t.Context()
+	_, _, err := Apply(ctx, kv, sized(3), 0)
+	assert.NilError(t, err)
+	results := make([]ApplyResult, 2)
+	var wg sync.WaitGroup
+	for i := range results {
+		wg.Go(func() { results[i], _, _ = Apply(ctx, kv, withNewVersion(i), 1) })
+	}
+	wg.Wait()
+	loser := slices.Index(results, ApplyConflict)
+	assert.Assert(t, loser >= 0 && results[1-loser] == ApplyAccepted, "%v", results)
+	result, _, err := Apply(ctx, kv, withNewVersion(loser), 2)
+	assert.Check(t, result == ApplyRefused, "%s: other weights of the accepted version", result)
+	assert.Check(t, err != nil && strings.Contains(err.Error(), `adapter "adapter-1", version "v3"`), "%v", err)
+	result, _, err = Apply(ctx, kv, withNewVersion(1-loser), 2)
+	assert.NilError(t, err)
+	assert.Equal(t, result, ApplyAccepted, "the same weights again")
+}
+
+// withNewVersion is a document with a third version, whose weights the operator chose.
+func withNewVersion(operator int) *Document {
+	d := sized(3)
+	v := Version{ID: "v3", Weights: fmt.Sprint("weights/of-operator/", operator)}
+	d.Adapters[1].Versions = append(d.Adapters[1].Versions, v)
+	return d
+}
+
+// TestStoredVersionChangeIsRead lets a follower read a head, accepted before, that gives a
+// version other weights: what is stored stays readable and goes into force.
+func TestStoredVersionChangeIsRead(t *testing.T) {
+	f := NewFollower(store.NewMemory(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	for i, weights := range []string{"old", "new"} {
+		d := sized(2)
+		d.Adapters[0].Versions[0].Weights = weights
+		s, err := split(d)
+		assert.NilError(t, err)
+		s.Head.Revision = sandbarrow.Revision(i + 1)
+		assert.NilError(t, f.Offer(s))
+	}
+	assert.Equal(t, f.Mark().Revision, sandbarrow.Revision(2))
+}
+
+// TestVersionsNotCompared loses a shard of the configuration in force: nothing is accepted
+// whose versions can't be compared with it.
+func TestVersionsNotCompared(t *testing.T) {
+	kv := store.NewMemory()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel() // pauses between tries take no time
+	_, head, err := Apply(ctx, kv, document(1), 0)
+	assert.NilError(t, err)
+	for _, digest := range head.Shards {
+		item, err := kv.Get(ctx, shardKey(digest))
+		assert.NilError(t, err)
+		_, err = kv.CompareAndSwap(ctx, shardKey(digest), item.Revision, []byte("{}"), "")
+		if !errors.Is(err, sandbarrow.ErrStoreConflict) { // one digest stands for many empty shards
+			assert.NilError(t, err)
+		}
+	}
+	result, _, err := Apply(ctx, kv, document(2), 1)
+	assert.Equal(t, result, ApplyRefused)
+	assert.Assert(t, errors.Is(err, ErrInvalid), "%v", err)
+}
