--- a/controller/acquirecall_test.go
+++ b/controller/acquirecall_test.go
@@ -134,3 +134,23 @@
 	defer c.mu.Unlock()
 	assert.Equal(t, c.slots.kept.Kept(read.Weights(), s), 0)
 }
+
+// An engine that came up with its base model and was never ordered anything has restarted
+// where it holds no base model any more: its count of orders does not show it.
+func TestRestartWithoutOrdersIsSeen(t *testing.T) {
+	f := newFakeEngine(testSlots)
+	f.models = []sandbarrow.BaseModelID{testModel}
+	c := newTestController(t, f)
+	step(t, c)
+	c.mu.Lock()
+	p := &pin{key: sandbarrow.AdapterKey{Model: testModel}, stretches: promptcache.Stretches(key(""), "ab:3000,ef:100"), tokens: 3100}
+	c.slots.acquire(c.now(), &enginelink.Acquire{UsefulMS: 1000}, p)
+	c.mu.Unlock()
+	assert.Assert(t, p.granted)
+	f.restart()
+	step(t, c)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.slots.begun(c.now(), p)
+	assert.Equal(t, c.slots.kept.Kept(p.weights, p.stretches), 0, "the prompt was read by the start before")
+}
--- a/controller/engineloop.go
+++ b/controller/engineloop.go
@@ -64,7 +64,7 @@
 		c.logger.Info("engine regained", "sequence", r.Sequence)
 	}
 	c.failedReports = 0
-	if r.Sequence < c.sequence {
+	if c.hasRestarted(&r) {
 		c.logger.Warn("engine restarted", "sequence", r.Sequence, "before", c.sequence, "instance", string(c.instance))
 		c.instance = ""
 		c.slots.restarted(c.now())
@@ -87,6 +87,13 @@
 	return idlePoll
 }
 
+// hasRestarted reports whether a report is of a later start of the engine than the last
+// one: its count of orders began anew, or it holds no base model any more, which none is
+// ever ordered to unload. The caller holds mu.
+func (c *Controller) hasRestarted(r *sandbarrow.EngineReport) bool {
+	return r.Sequence < c.sequence || len(r.Models) == 0 && len(c.reported.Models) > 0
+}
+
 // logNewModels writes a line for each base model that the last report did not have at
 // its version. The caller holds mu.
 func (c *Controller) logNewModels(models []sandbarrow.LoadedModel) {
--- a/controller/reconcile.go
+++ b/controller/reconcile.go
@@ -37,7 +37,6 @@
 	}
 	if len(models) == 0 {
 		s.memory.Forget()
-		s.kept.Clear()
 	}
 	s.memory.Note(maps.All(held))
 }
@@ -74,7 +73,7 @@
 		sl.state, sl.loaded = enginelink.SlotLoaded, now
 		sl.lastUsed = now
 	}
-	if sl.version != 0 && sl.version != v {
+	if sl.version != v {
 		s.kept.Drop(key) // it was made with the older version
 	}
 	sl.version = v
--- a/gateway/callerrequest.go
+++ b/gateway/callerrequest.go
@@ -214,8 +214,8 @@
 	h.Set(names.Deadline, strconv.FormatInt(max(1, time.Until(c.callerEnds).Milliseconds()), 10))
 	h.Set(names.ExpectInstance, string(in.ID))
 	if c.service.Engine != nil {
-		if c.chosen != nil && c.chosen.move.tokens > 0 {
-			h.Set(names.MoveFrom, c.chosen.move.source.instance.Address)
+		if c.chosen != nil && c.chosen.move.from() != "" {
+			h.Set(names.MoveFrom, c.chosen.move.from())
 		}
 		h.Set(names.Priority, strconv.Itoa(c.enginePriority()))
 	}
--- a/gateway/calllog.go
+++ b/gateway/calllog.go
@@ -51,7 +51,7 @@
 	} else {
 		attrs = append(attrs, slog.String("host", clip(c.request.Host)), slog.String("path", clip(c.request.URL.Path)))
 	}
-	if c.key.Adapter != "" {
+	if c.service != nil && c.service.Engine != nil {
 		attrs = append(attrs, slog.String("adapter", string(c.key.Adapter)), slog.Uint64("version", uint64(c.version)),
 			slog.Int("tokens", c.tokens), slog.Int64("acquire_ms", c.acquired.Milliseconds()),
 			slog.Int64("first_ms", c.first.Milliseconds()), slog.Int("events", c.events), slog.Int64("longest_pause_ms", c.paused.Milliseconds()))
@@ -60,19 +60,34 @@
 	return attrs
 }
 
-// attributes describe an engine as it was seen when it was chosen; nil has none.
+// attributes describe an engine as it was seen when it was chosen, and what it was told to
+// take of the prompt; nil has none.
 func (e *candidate) attributes() []slog.Attr {
 	if e == nil {
 		return nil
 	}
-	return []slog.Attr{
+	attrs := []slog.Attr{
 		slog.Bool("linked", e.linked), slog.Bool("held", e.held), slog.Int("free", e.status.Free), slog.Int("running", e.status.Running),
 		slog.Int("kept_tokens", e.kept), slog.Int("waiting_tokens", e.waitingTokens), slog.Int64("cost_ms", e.cost.Milliseconds()),
 		slog.Float64("token_us", float64(e.speed().PerToken)/float64(time.Microsecond)), slog.Int64("base_ms", e.speed().Base.Milliseconds()),
 		slog.Int64("status_age_ms", e.link.age().Milliseconds()), slog.Uint64("granted_version", uint64(e.granted.Adapter)),
-		slog.Uint64("model_version", uint64(e.granted.Model)), slog.Int("moved_tokens", e.move.tokens), slog.String("moved_from", e.move.from()),
-		slog.String("move", string(e.move.outcome)),
+		slog.Uint64("model_version", uint64(e.granted.Model)),
+	}
+	return append(attrs, e.move.attributes()...)
+}
+
+// attributes describe what came of a move; none where there was none, or it was not settled.
+func (m *promptMove) attributes() []slog.Attr {
+	switch m.outcome {
+	case "":
+		return nil
+	case moveSent:
+		return []slog.Attr{
+			slog.String("move", string(m.outcome)), slog.String("moved_from", m.from()),
+			slog.String("moved_from_upstream", string(m.source.instance.ID)), slog.Int("moved_tokens", m.tokens),
+		}
 	}
+	return []slog.Attr{slog.String("move", string(m.outcome))}
 }
 
 // clip bounds a caller's text in a log line.
--- a/gateway/choose_test.go
+++ b/gateway/choose_test.go
@@ -11,6 +11,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/promptcache"
 	"sandbarrow.example/sandbarrow/route"
 )
 
@@ -145,6 +146,35 @@
 }
 
 // BenchmarkChooseEngine is the cost of a choice among the engines of a service.
+// BenchmarkChooseEngineForPrompt chooses for a prompt of five parts among engines of which
+// one in eight has loaded the adapter and nine have reported that they keep the prompt: 43 to
+// 47 µs where every engine's view was asked for the prompt, 30 to 35 where only those that
+// could keep it are.
+func BenchmarkChooseEngineForPrompt(b *testing.B) {
+	statuses := make([]enginelink.Status, 160)
+	for i := range statuses {
+		statuses[i] = enginelink.Status{Free: 1, ModelVersions: []sandbarrow.ModelVersion{1}, Slots: loading(7)}
+		if i%8 == 0 {
+			statuses[i].Slots = append(statuses[i].Slots, loaded("a")...)
+		}
+	}
+	g := chooserOf(b, statuses...)
+	c := callFor(g, "a", 9000)
+	c.service.Engine.MovePerToken = time.Microsecond
+	c.stretches = promptcache.Stretches(c.key, "1:1000,2:2000,3:2000,4:2000,5:2000")
+	var memory promptcache.Memory
+	memory.SetCapacity(100_000)
+	memory.Use(c.key, sandbarrow.WeightsVersion{Adapter: 1, Model: 1}, c.stretches)
+	changes, all, _ := memory.Changes(0)
+	for _, in := range g.directory.View().Service(testEngines)[:9] {
+		g.engines.link(in.Address).applyKept(&enginelink.Kept{All: all, Changes: changes})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		_ = g.chooseEngine(c, nil)
+	}
+}
+
 func BenchmarkChooseEngine(b *testing.B) {
 	for _, n := range []int{18, 200, 4000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
--- a/gateway/linkstate.go
+++ b/gateway/linkstate.go
@@ -59,8 +59,10 @@
 		linked: l.usableLocked(now), recallable: l.memory.Has(c.key, c.version), status: l.status,
 		waitingTokens: l.waitingTokensLocked(c.route.Priority),
 	}
-	if v.linked {
-		v.weights = l.status.Weights(c.key)
+	v.weights = l.status.Weights(c.key)
+	// Most engines have not loaded the adapter and keep nothing for it. Asking them all takes
+	// 45 in place of 32 µs for 160 engines (BenchmarkChooseEngineForPrompt).
+	if v.weights.Model > 0 {
 		v.kept = l.kept.Kept(v.weights, c.stretches)
 	}
 	return v
--- a/gateway/promptmove.go
+++ b/gateway/promptmove.go
@@ -43,9 +43,10 @@
 	tokens  int
 }
 
-// from is the address of the other engine; empty where nothing is taken.
+// from is the address from which the engine is told to take memory; empty where nothing is
+// taken, and before that is settled.
 func (m *promptMove) from() string {
-	if m.tokens == 0 {
+	if m.outcome != moveSent {
 		return ""
 	}
 	return m.source.instance.Address
@@ -126,7 +127,7 @@
 		return 0
 	}
 	source := f.sources.of(e.runsWith(n, f.newest))
-	if source == nil || source.instance == e.instance {
+	if source == nil {
 		return 0
 	}
 	more := source.tokens - e.kept
@@ -164,7 +165,7 @@
 	switch {
 	case granted != s.weights:
 		return moveWeights
-	case s.link.keeps(time.Now(), s.instance, c, granted) < s.tokens:
+	case s.link.keeps(time.Now(), s.instance, c, granted) < leastMoved:
 		return moveSource
 	}
 	return moveSent
--- a/gateway/staleprompt_test.go
+++ b/gateway/staleprompt_test.go
@@ -61,6 +61,32 @@
 	}
 }
 
+// The choice is made by the last reports. Weights that change between these and the grant
+// are seen at the grant, right before the request is sent.
+func TestPromptMemoryIsSettledByTheGrant(t *testing.T) {
+	for name, change := range map[string]func(*runner){
+		"the base model":       func(r *runner) { r.run(testWeights{model: 7}) },
+		"what a load brings":   func(r *runner) { r.set(func() { r.newest = 2 }) },
+		"nothing, for control": func(*runner) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 2, 0)
+			f.configure(t, streamRoute(true))
+			keeper, taker := f.runners[0], f.runners[1]
+			keeper.run(testWeights{model: 1, adapter: 1})
+			f.awaitStatuses(t)
+			f.readPrompt(t, "read")
+			f.occupy(t, keeper)
+			f.awaitStatuses(t)
+			change(taker)
+			f.readPrompt(t, "shared")
+			assert.DeepEqual(t, taker.runs(), []string{"shared"})
+			assert.Equal(t, taker.memory.stale, 0, "ran on memory of other weights")
+			assert.Equal(t, taker.memory.taken > 0, name == "nothing, for control")
+		})
+	}
+}
+
 // run makes the engine hold the base model and, where it is named, the adapter of the
 // tests' streams.
 func (r *runner) run(w testWeights) {
