Keep the rule on which version may run in one place

A request's least version was computed by gateway and controller alike; it is the operators' state that knows it. No behaviour changes: tests of estate, controller and gateway pass.

--- a/controller/acquire.go
+++ b/controller/acquire.go
@@ -50,7 +50,7 @@
 		return nil, refusal
 	}
 	// A gateway that lags must not get a version that is known to be old.
-	q.Version = max(q.Version, c.namedVersion(p.key))
+	q.Version = max(q.Version, c.estate.View().LeastVersion(p.key))
 	w := c.slots.acquire(c.now(), q, p)
 	a.request = w
 	if !p.granted {
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -148,22 +148,12 @@
 		o, ok = c.slots.nextOrder(now, !c.unreported.possible(now))
 	}
 	if o.Load && o.Adapter != "" {
-		o.Version = max(o.Version, c.namedVersion(sandbarrow.AdapterKey{Adapter: o.Adapter, Model: o.Model}))
+		o.Version = max(o.Version, c.estate.View().LeastVersion(sandbarrow.AdapterKey{Adapter: o.Adapter, Model: o.Model}))
 	}
 	o.Expected, o.Holder, o.Instance, o.Token = sequence, c.box, c.instance, c.token
 	return o, ok
 }
 
-// namedVersion is the version of an adapter that the operators have named last, as far as
-// this controller knows; 0 for a base model, whose named version binds no request.
-func (c *Controller) namedVersion(k sandbarrow.AdapterKey) sandbarrow.AdapterVersion {
-	view := c.estate.View()
-	if view == nil || k.Adapter == "" {
-		return 0
-	}
-	return view.Version(k)
-}
-
 // wantsOrder reports whether there may be an order to give.
 func (c *Controller) wantsOrder() bool {
 	c.mu.Lock()
--- a/estate/estate.go
+++ b/estate/estate.go
@@ -45,6 +45,16 @@
 	versions map[sandbarrow.AdapterKey]sandbarrow.AdapterVersion
 }
 
+// LeastVersion returns the least version of an adapter that may run a request: the newest
+// named one, or 0 where none is named or the state is not known yet (v is nil). A named
+// version of a base model binds no request: engines run the one that they loaded.
+func (v *View) LeastVersion(key sandbarrow.AdapterKey) sandbarrow.AdapterVersion {
+	if v == nil || key.Adapter == "" {
+		return 0
+	}
+	return v.Version(key)
+}
+
 // Version returns the newest named version of an adapter, or 0.
 func (v *View) Version(key sandbarrow.AdapterKey) sandbarrow.AdapterVersion {
 	return v.versions[key]
--- a/gateway/callerrequest.go
+++ b/gateway/callerrequest.go
@@ -123,18 +123,14 @@
 	model, adapter, _ := strings.Cut(c.request.Header.Get(names.Model), "/")
 	c.key = sandbarrow.AdapterKey{Adapter: sandbarrow.AdapterID(adapter), Model: sandbarrow.BaseModelID(model)}
 	c.stretches = promptcache.Stretches(c.key, c.request.Header.Get(names.Prompt))
-	c.version = c.namedVersion()
+	c.version = c.leastVersion()
 	c.tokens = c.readTokens(c.request.Header.Get(names.Tokens))
 	c.lastEvent = c.request.Header.Get(names.LastEvent)
 }
 
-// namedVersion is the version of the adapter that the operators have named last. A named
-// version of a base model binds no request: engines run the one that they loaded.
-func (c *call) namedVersion() sandbarrow.AdapterVersion {
-	if c.key.Adapter == "" {
-		return 0
-	}
-	return c.gateway.estate.View().Version(c.key)
+// leastVersion is the least version of the adapter that may run now.
+func (c *call) leastVersion() sandbarrow.AdapterVersion {
+	return c.gateway.estate.View().LeastVersion(c.key)
 }
 
 // readTokens reads the prompt's length in tokens from a list that begins with it.
--- a/gateway/enginesearch_test.go
+++ b/gateway/enginesearch_test.go
@@ -48,7 +48,7 @@
 	named("1", 2)
 	c := callFor(g, "a", 100)
 	c.ends, c.callerEnds = c.began.Add(time.Second), c.began.Add(time.Second)
-	c.version = c.namedVersion()
+	c.version = c.leastVersion()
 	e := &candidate{instance: g.directory.View().Service(testEngines)[0]}
 	s := engineSearch{excluded: map[sandbarrow.InstanceID]bool{}}
 
@@ -57,7 +57,7 @@
 	assert.Assert(t, !pinned, "version 2 has been named")
 	assert.Assert(t, s.first() && s.acquires == 0, "the engine may be asked again")
 
-	c.version = c.namedVersion()
+	c.version = c.leastVersion()
 	version, pinned := c.pinAt(t.Context(), &s, e)
 	assert.Assert(t, pinned)
 	assert.Equal(t, version, sandbarrow.AdapterVersion(2))
--- a/gateway/promptmove_test.go
+++ b/gateway/promptmove_test.go
@@ -123,7 +123,7 @@
 	g.estate.Update([]sandbarrow.KeyItem{{Key: "op/table", Revision: 1, Value: []byte("{}")}, {Key: "op/version/", Revision: 2, Value: []byte("7")}}, 2)
 	c := callFor(g, "", 100)
 	assert.Equal(t, g.estate.View().Version(c.key), sandbarrow.AdapterVersion(7))
-	assert.Equal(t, c.namedVersion(), sandbarrow.AdapterVersion(0))
+	assert.Equal(t, c.leastVersion(), sandbarrow.AdapterVersion(0))
 }
 
 // A new connection to a controller begins with the engine's speed and the fencing token
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -37,7 +37,7 @@
 func (c *call) serveEngine(ctx context.Context) {
 	s := engineSearch{excluded: map[sandbarrow.InstanceID]bool{}, why: reasonNoUpstream}
 	for ctx.Err() == nil && time.Until(c.ends) > leastSend && s.mayAsk() {
-		c.version = c.namedVersion()
+		c.version = c.leastVersion()
 		e := c.gateway.chooseEngine(c, s.excluded)
 		if s.first() && (e == nil || !c.gateway.engines.anyUp()) && c.awaitEngines(ctx) {
 			continue
@@ -89,7 +89,7 @@
 		s.busy++
 		return 0, false
 	}
-	if granted && grant.Version < c.namedVersion() {
+	if granted && grant.Version < c.leastVersion() {
 		// A newer version was named while the request waited for its adapter and for the
 		// prompts before it: it is asked for anew, also of this engine.
 		c.unpin(e)
