Report pins that are taken on a connection which has reported nothing yet

Cause: a request to an engine whose link is not usable takes its pin without the controller, which learns of it when the link is made anew. A connection on which no status has arrived yet, or none for 1.5 s, counts as not usable and may go on all the same: its pins were never reported, and the adapter could be unloaded under them. Change: such a pin is reported at once where there is a connection.

--- a/gateway/controllerlink.go
+++ b/gateway/controllerlink.go
@@ -187,3 +187,14 @@
 		_ = rpc.Notify(context.Background(), method, enginelink.Pin{ID: id}) // a controller whose link has ended drops its pins after a grace period
 	}
 }
+
+// takePin keeps a pin that is taken without the controller, since the link is not usable.
+// The controller learns of it when it is linked anew. Where there is a connection that has
+// reported nothing yet, or nothing for a while, it is told at once: that connection may go
+// on, and the adapter would be unloaded under the request.
+func (l *controllerLink) takePin(ctx context.Context, q *enginelink.Acquire) {
+	l.addPin(q)
+	if rpc := l.connection(); rpc != nil {
+		_ = rpc.Notify(context.WithoutCancel(ctx), enginelink.MethodUsing, q)
+	}
+}
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -124,7 +124,7 @@
 	}
 	if !e.linked {
 		if e.link != nil {
-			e.link.addPin(ask) // the controller learns of it when its link is up again
+			e.link.takePin(ctx, ask)
 		}
 		return enginelink.Grant{Version: c.version}, true
 	}
