Unload nothing right after a freeze, and end a request's second pin with it

A gateway whose link counted as silent took a pin without it. When it woke it went on with what had been sent before, among it acquires that were given up by then, and evicted for one of these; the report of the pin stood behind them and was lost with the connection. Only a new link made it wait for pins that it may not know. A second fault was found beside it: a pin reported on a new link while the old one was open counted twice, and the request's end dropped the second without ending it. Change: the controller notes that it runs at each report and before each order; after a gap of 1 s it unloads nothing for 0.6 s, as after its first link, and says so in a line. The end of a request ends both pins. Left: a freeze between the decision and the arrival of the order.

--- a/controller/acquire.go
+++ b/controller/acquire.go
@@ -218,6 +218,9 @@
 		c.slots.begun(now, p)
 	case method == enginelink.MethodDone:
 		delete(l.pins, id)
+		if o := c.orphans[id]; o != nil && o != p {
+			c.slots.unpin(now, o) // of a link that ended here after this one was there
+		}
 		delete(c.orphans, id)
 		c.slots.done(now, p)
 		if len(c.slots.pending) > 0 {
--- a/controller/engineloop.go
+++ b/controller/engineloop.go
@@ -56,6 +56,7 @@
 func (c *Controller) applyReport(r sandbarrow.EngineReport, err error) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.noteRuns(c.now())
 	if err != nil {
 		c.countFailedReport(err)
 		return unreachablePoll
@@ -87,6 +88,14 @@
 	return idlePoll
 }
 
+// noteRuns notes that this process runs, and writes a line where it did not for a while.
+// The caller holds mu.
+func (c *Controller) noteRuns(now time.Time) {
+	if frozen := c.unreported.runs(now); frozen > 0 {
+		c.logger.Warn("controller did not run, unloads wait", "took_ms", frozen.Milliseconds())
+	}
+}
+
 // hasRestarted reports whether a report is of a later start of the engine than the last
 // one: its count of orders began anew, or it holds no base model any more, which none is
 // ever ordered to unload. The caller holds mu.
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -145,6 +145,7 @@
 		o, ok = sandbarrow.EngineOrder{Load: true, Model: service.Engine.Models[0].ID}, true
 	} else {
 		now := c.now()
+		c.noteRuns(now)
 		o, ok = c.slots.nextOrder(now, !c.unreported.possible(now))
 	}
 	if o.Load && o.Adapter != "" {
--- a/controller/orphan_test.go
+++ b/controller/orphan_test.go
@@ -105,3 +105,25 @@
 		return loaded
 	})
 }
+
+// A request whose gateway linked anew before its old link ended here is counted twice until
+// then; its end leaves no use behind.
+func TestDoneEndsTheOrphanToo(t *testing.T) {
+	f := newFakeEngine(testSlots)
+	f.models = []sandbarrow.BaseModelID{testModel}
+	f.loaded[key("a")] = 1
+	c := newTestController(t, f)
+	step(t, c)
+	ask := enginelink.Acquire{Adapter: "a", ID: "1", Model: testModel, WaitMS: 100}
+	first := linkTo(t.Context(), c, nil)
+	var g enginelink.Grant
+	assert.NilError(t, first.Call(t.Context(), enginelink.MethodAcquire, ask, &g))
+	second := linkTo(t.Context(), c, nil) // the gateway has given the first one up, which is still open here
+	assert.NilError(t, second.Notify(t.Context(), enginelink.MethodUsing, ask))
+	eventually(t, func() bool { return c.usesOf("a") == 2 })
+	assert.NilError(t, first.Close())
+	eventually(t, func() bool { return c.linked() == 1 })
+	assert.NilError(t, second.Notify(t.Context(), enginelink.MethodDone, enginelink.Pin{ID: "1"}))
+	time.Sleep(orphanGrace + 200*time.Millisecond)
+	assert.Equal(t, c.usesOf("a"), 0, "the request has ended")
+}
--- a/controller/unreportedpins.go
+++ b/controller/unreportedpins.go
@@ -1,6 +1,10 @@
 package controller
 
-import "time"
+import (
+	"time"
+
+	"sandbarrow.example/sandbarrow/enginelink"
+)
 
 // relinkTime is how long after the first gateway the others may take to be linked: a
 // dial that was under way when the network came back (forward.DialTimeout, 0.35 s),
@@ -13,6 +17,12 @@
 // linked. Estimate, not measured: the messages follow the connection at once.
 const pinReportTime = 100 * time.Millisecond
 
+// frozenAfter is how long this process must have done nothing for its gateways to have
+// taken pins without it: the last status may have been a heartbeat old by then. A look at
+// an engine that does not answer can take as long, which holds up unloads by relinkTime and
+// no more.
+const frozenAfter = enginelink.HeartbeatTimeout - enginelink.Heartbeat
+
 // unreportedPins decides whether gateways may hold pins that this controller does not
 // know of. While it has no link, and before its first one after a start, gateways
 // send requests to the engine without it and report their pins when they are linked
@@ -25,6 +35,8 @@
 	awaited int
 	// most is how many gateways were ever linked at the same time.
 	most int
+	// ran is when this process was last seen to run.
+	ran time.Time
 	// until is when all gateways have had the time to be linked and report.
 	until time.Time
 }
@@ -40,6 +52,21 @@
 	u.most = max(u.most, links)
 }
 
+// runs notes that this process runs, and returns for how long it did not where that was
+// long enough for pins to be taken without it, else 0. After a freeze it goes on with what
+// the gateways sent before they gave it up; the pins that they took since come behind, or
+// are lost with the connection.
+func (u *unreportedPins) runs(now time.Time) time.Duration {
+	frozen := now.Sub(u.ran)
+	known := !u.ran.IsZero()
+	u.ran = now
+	if !known || frozen < frozenAfter {
+		return 0
+	}
+	u.awaited, u.until = 0, now.Add(relinkTime)
+	return frozen
+}
+
 // possible reports whether a gateway may still have to report its pins.
 func (u *unreportedPins) possible(now time.Time) bool {
 	return now.Before(u.until)
