Look at a new link's silence only after a heartbeat

Ruled out: load alone. Change: the first look comes after the first heartbeat. A link that has just come up has a contact of that moment, so nothing is seen later than before.

--- a/gateway/controllerlink.go
+++ b/gateway/controllerlink.go
@@ -85,7 +85,7 @@
 	}
 	go enginelink.AnnounceMarks(ctx, rpc, l.gateway.estate)
 	l.gateway.logger.Info("controller linked", "controller", l.address)
-	for l.up(time.Now()) {
+	for {
 		select {
 		case <-rpc.DisconnectNotify():
 			l.lost("disconnected")
@@ -94,8 +94,11 @@
 			return
 		case <-time.After(enginelink.Heartbeat):
 		}
+		if !l.up(time.Now()) {
+			l.lost("silent")
+			return
+		}
 	}
-	l.lost("silent")
 }
 
 // readStatus applies a status of the controller.
@@ -139,6 +142,13 @@
 		}
 		l.gateway.directory.Learn(change)
 		return nil, nil
+	case enginelink.MethodLeads:
+		var leads enginelink.Leads
+		if err := wire.Decode(r, &leads); err != nil {
+			return nil, err
+		}
+		l.gateway.leads.learn(l, &leads)
+		return nil, nil
 	case enginelink.MethodMark:
 		var m enginelink.Mark
 		if err := wire.Decode(r, &m); err != nil {
