Serve callers by the keys and limits of their workspaces

Cause: the gateway path knew no keys, workspaces or limits. Ruled out: limits by equal shares of each gateway, since 97 clients before 29 gateways load them unevenly (to be measured beside this). Change: platform decodes the workspaces; package access finds one by its key, kept as salted digests; 401 and 429 before anything is sent; the header that names the workspace is set by the gateway alone. A configuration is trusted for 0.85 of the operators' bound after the store was known to have nothing newer, counted from when the question was sent, passed between processes as an age in an answer. Package quota decides what a workspace may use; controllers lead shards of the workspaces by a lease in the store, nominated by gateways.

--- /dev/null
+++ b/access/access.go
@@ -0,0 +1,97 @@
+// Package access decides which workspace a caller speaks for, by the API key that it
+// sends. It owns the keys of one configuration, kept as salted digests, and what the
+// operators allow each workspace; it relies on whoever decodes the operators' document.
+// Gateways use it.
+package access
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"strings"
+
+	"sandbarrow.example/sandbarrow"
+)
+
+// scheme is the authentication scheme of callers' keys (RFC 6750).
+const scheme = "Bearer"
+
+// Workspace is one customer as the operators configure it.
+type Workspace struct {
+	ID    sandbarrow.WorkspaceID
+	Limit Limit
+	// Priority replaces that of a request's route where it stands; 0 is the most urgent.
+	Priority *int
+}
+
+// Entry is a workspace with its keys.
+type Entry struct {
+	Keys      []string
+	Workspace Workspace
+}
+
+type digest [sha256.Size]byte
+
+// Keys finds the workspace of a key. It is immutable. It holds no key: an attacker who
+// measures how long a look-up takes learns at most about digests under a secret salt.
+type Keys struct {
+	byDigest map[digest]*Workspace
+	byID     map[sandbarrow.WorkspaceID]*Workspace
+	salt     [sha256.Size]byte
+}
+
+// NewKeys indexes the workspaces of a configuration. A key that stands in several of
+// them counts for the first.
+func NewKeys(entries []Entry) *Keys {
+	k := &Keys{byDigest: map[digest]*Workspace{}, byID: make(map[sandbarrow.WorkspaceID]*Workspace, len(entries))}
+	_, _ = rand.Read(k.salt[:]) // never fails
+	for i := range entries {
+		w := &entries[i].Workspace
+		if k.byID[w.ID] == nil {
+			k.byID[w.ID] = w
+		}
+		for _, key := range entries[i].Keys {
+			if d := k.digest(key); key != "" && k.byDigest[d] == nil {
+				k.byDigest[d] = w
+			}
+		}
+	}
+	return k
+}
+
+// Find returns the workspace of a request by the values of its Authorization header, or
+// nil where they are not exactly one known key.
+func (k *Keys) Find(authorization []string) *Workspace {
+	if len(authorization) != 1 {
+		return nil
+	}
+	given, key, ok := strings.Cut(authorization[0], " ")
+	if !ok || !strings.EqualFold(given, scheme) {
+		return nil
+	}
+	return k.byDigest[k.digest(strings.TrimLeft(key, " "))]
+}
+
+// Workspace returns a workspace, or nil.
+func (k *Keys) Workspace(id sandbarrow.WorkspaceID) *Workspace {
+	if k == nil {
+		return nil
+	}
+	return k.byID[id]
+}
+
+// Workspaces calls yield for each workspace, in no order, until it returns false.
+func (k *Keys) Workspaces(yield func(*Workspace) bool) {
+	if k == nil {
+		return
+	}
+	for _, w := range k.byID {
+		if !yield(w) {
+			return
+		}
+	}
+}
+
+// digest is the salted digest of a key.
+func (k *Keys) digest(key string) digest {
+	return sha256.Sum256(append(k.salt[:len(k.salt):len(k.salt)], key...))
+}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -30,6 +30,8 @@
 	"sandbarrow.example/sandbarrow/estate"
 	"sandbarrow.example/sandbarrow/evict"
 	"sandbarrow.example/sandbarrow/prefixwatch"
+	"sandbarrow.example/sandbarrow/quota"
+	"sandbarrow.example/sandbarrow/quota/leader"
 )
 
 const (
@@ -43,6 +45,8 @@
 
 // Config is what a Controller needs.
 type Config struct {
+	// Bound is what the operators promise of the workspaces' limits.
+	Bound     quota.Bound
 	Box       sandbarrow.BoxID
 	Control   sandbarrow.EngineControl
 	Documents estate.Documents
@@ -50,8 +54,10 @@
 	Engine  string
 	Logger  *slog.Logger
 	Metrics prometheus.Registerer
-	Service sandbarrow.ServiceID
-	Store   sandbarrow.PrefixStore
+	// LeaseStore keeps the leases on quota shards; nil leads none.
+	LeaseStore sandbarrow.LeaseStore
+	Service    sandbarrow.ServiceID
+	Store      sandbarrow.PrefixStore
 }
 
 // Controller owns the slots of one engine.
@@ -60,6 +66,8 @@
 	control sandbarrow.EngineControl
 	engine  string
 	estate  *estate.Estate
+	// leader is nil where no shards are led.
+	leader  *leader.Leader
 	logger  *slog.Logger
 	metrics *metrics
 	now     func() time.Time
@@ -95,6 +103,9 @@
 			Consumer: e, Logger: c.Logger, Prefix: c.Documents.Prefix(), Store: c.Store, Wait: watchWait,
 		},
 	}
+	if c.LeaseStore != nil {
+		k.leader = leader.New(leader.Config{Bound: c.Bound, Estate: e, Logger: c.Logger, Store: c.LeaseStore})
+	}
 	k.watch.Covered = k.watchedByGateways
 	k.slots.loadTook = k.loadTook
 	return k
@@ -129,6 +140,9 @@
 	g.Go(func() error { return c.tokenLoop(ctx) })
 	g.Go(func() error { return c.engineLoop(ctx) })
 	g.Go(func() error { return c.publishLoop(ctx) })
+	if c.leader != nil {
+		g.Go(func() error { return c.leader.Run(ctx) })
+	}
 	return g.Wait()
 }
 
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -30,6 +30,7 @@
 
 func (testDocuments) IsTable(key string) bool { return key == "table" }
 func (testDocuments) Prefix() string          { return "" }
+func (testDocuments) TableKey() string        { return "table" }
 func (testDocuments) Table([]byte) (*route.Table, error) {
 	return route.NewTable(1, nil, []route.Service{{
 		ID: testService, HealthPath: "/health",
--- a/controller/gatewaylink.go
+++ b/controller/gatewaylink.go
@@ -67,6 +67,9 @@
 	c.mu.Unlock()
 	go enginelink.AnnounceMarks(ctx, l.rpc, c.estate)
 	go l.sendStatuses(ctx)
+	if c.leader != nil {
+		go l.announceLeads(ctx)
+	}
 	select {
 	case <-l.rpc.DisconnectNotify():
 	case <-ctx.Done():
@@ -132,6 +135,28 @@
 		l.applyProgress(p.ID, r.Method)
 		return nil, nil
 	}
+	return l.handleQuota(r)
+}
+
+// handleQuota serves a message to the leader of quota shards.
+func (l *link) handleQuota(r *jsonrpc2.Request) (any, error) {
+	lead := l.controller.leader
+	switch {
+	case lead == nil:
+	case r.Method == enginelink.MethodLead:
+		var q enginelink.Lead
+		if err := wire.Decode(r, &q); err != nil {
+			return nil, err
+		}
+		lead.Nominate(q.Shard)
+		return nil, nil
+	case r.Method == enginelink.MethodTake:
+		var q enginelink.Take
+		if err := wire.Decode(r, &q); err != nil {
+			return nil, err
+		}
+		return lead.Take(&q), nil
+	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
 }
 
@@ -146,6 +171,20 @@
 	c.slots.reading.speed.Adopt(h.Speed)
 }
 
+// announceLeads sends which quota shards this process leads, whenever that changes.
+func (l *link) announceLeads(ctx context.Context) {
+	for ctx.Err() == nil {
+		leads, changed := l.controller.leader.Leads()
+		if err := l.rpc.Notify(ctx, enginelink.MethodLeads, leads); err != nil {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // notifyStatus makes the link send the status.
 func (l *link) notifyStatus() {
 	select {
--- a/enginelink/estatesync.go
+++ b/enginelink/estatesync.go
@@ -55,17 +55,39 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
+	_ = Fetch(ctx, rpc, e) // a peer whose link broke: another one, or its next mark, brings it
+}
+
+// Fetch asks a peer for what this side lacks of the operators' state, and for how long ago
+// the peer's state was the newest.
+func Fetch(ctx context.Context, rpc *jsonrpc2.Conn, e *estate.Estate) error {
+	mine, _ := e.Mark()
+	asked := time.Now()
 	var got Estate
-	if rpc.Call(ctx, MethodFetch, Mark{Revision: mine}, &got) != nil {
-		return // a peer whose link broke: another one, or its next mark, brings it
+	if err := rpc.Call(ctx, MethodFetch, Mark{Revision: mine}, &got); err != nil {
+		return err
 	}
 	e.Update(got.Items, got.Mark)
+	if got.AgeMS != nil {
+		e.Confirm(asked.Add(-time.Duration(*got.AgeMS)*time.Millisecond), got.Table)
+	}
+	return nil
 }
 
 // ServeFetch answers a fetch.
 func ServeFetch(rpc *jsonrpc2.Conn, r *jsonrpc2.Request, e *estate.Estate) (any, error) {
 	return wire.Later(rpc, r, func(m Mark) any {
+		confirmed, table := e.Confirmed() // before the items, which may be newer
 		items, mark := e.Since(m.Revision)
-		return Estate{Items: items, Mark: mark}
+		return Estate{AgeMS: ageMS(confirmed), Items: items, Mark: mark, Table: table}
 	})
 }
+
+// ageMS is how long ago a time was, rounded up; nil for the zero time.
+func ageMS(at time.Time) *int64 {
+	if at.IsZero() {
+		return nil
+	}
+	ms := time.Since(at).Milliseconds() + 1
+	return &ms
+}
--- a/enginelink/messages.go
+++ b/enginelink/messages.go
@@ -11,6 +11,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/promptcache"
+	"sandbarrow.example/sandbarrow/quota"
 	"sandbarrow.example/sandbarrow/readspeed"
 )
 
@@ -29,6 +30,10 @@
 	MethodHello = "link.hello"
 	// MethodKept reports which prompt parts an engine keeps.
 	MethodKept = "engine.kept"
+	// MethodLead asks a controller to lead a quota shard.
+	MethodLead = "quota.lead"
+	// MethodLeads announces the quota shards that a controller leads now.
+	MethodLeads = "quota.leads"
 	// MethodListed carries what one gateway has read of the list of upstreams; the
 	// controller relays it to the others.
 	MethodListed = "directory.change"
@@ -39,6 +44,9 @@
 	MethodMark = "estate.mark"
 	// MethodStatus reports an engine to the gateways.
 	MethodStatus = "engine.status"
+	// MethodTake asks the leader of a workspace's quota shard for what a request counts; a
+	// call.
+	MethodTake = "quota.take"
 	// MethodUsing reports a pin that goes on to a controller that may not know it.
 	MethodUsing = "engine.using"
 )
@@ -105,6 +113,40 @@
 	Token sandbarrow.FencingToken `json:"token"`
 }
 
+// Lead asks a controller to lead a quota shard.
+type Lead struct {
+	Shard quota.Shard `json:"shard"`
+}
+
+// LeadTerm is one term of a shard's leader.
+type LeadTerm struct {
+	Shard quota.Shard `json:"shard"`
+	Term  quota.Term  `json:"term"`
+}
+
+// Leads are all shards that a controller leads.
+type Leads struct {
+	Terms []LeadTerm `json:"terms"`
+}
+
+// Take asks for what a request counts against its workspace's limit.
+type Take struct {
+	Units     int64                  `json:"units"`
+	Workspace sandbarrow.WorkspaceID `json:"workspace"`
+}
+
+// Taken answers a Take.
+type Taken struct {
+	Granted bool `json:"granted,omitempty"`
+	// LifeMS is how long the grant may be used, in milliseconds from when it was asked for.
+	LifeMS int64 `json:"life_ms,omitempty"`
+	// NotLeading says that the controller leads the shard no more, or does not know the
+	// workspace: another one may.
+	NotLeading bool `json:"not_leading,omitempty"`
+	// RetryMS is when a request that was not granted may come back, in milliseconds.
+	RetryMS int64 `json:"retry_ms,omitempty"`
+}
+
 // Mark is the revision up to which a side's estate is complete.
 type Mark struct {
 	Revision sandbarrow.StoreRevision `json:"revision"`
@@ -112,8 +154,13 @@
 
 // Estate answers a fetch.
 type Estate struct {
+	// AgeMS is how long ago the sender's state was confirmed as the newest, in
+	// milliseconds at the answer; nil where it never was.
+	AgeMS *int64                   `json:"age_ms,omitempty"`
 	Items []sandbarrow.KeyItem     `json:"items"`
 	Mark  sandbarrow.StoreRevision `json:"mark"`
+	// Table is the revision of the sender's table of routes.
+	Table sandbarrow.StoreRevision `json:"table,omitempty"`
 }
 
 // Acquire asks to pin an adapter, or to use a base model alone.
--- a/estate/estate.go
+++ b/estate/estate.go
@@ -25,6 +25,8 @@
 	IsTable(key string) bool
 	// Prefix is the prefix of the operators' keys.
 	Prefix() string
+	// TableKey is the key that holds the table of routes.
+	TableKey() string
 	// Table reads the table of routes.
 	Table(text []byte) (*route.Table, error)
 	// Version reads a key that names an adapter version. ErrOtherKey means that the
@@ -72,7 +74,9 @@
 
 	mu      sync.Mutex
 	changed chan struct{}
-	items   map[string]sandbarrow.KeyItem
+	// confirmed is the latest time at which nothing newer than the view was known to exist.
+	confirmed time.Time
+	items     map[string]sandbarrow.KeyItem
 	// latest has all items applied. It is apart from view, which stays nil until there is
 	// a table, so that a version named before that is not lost.
 	latest View
--- a/estate/estate_test.go
+++ b/estate/estate_test.go
@@ -18,6 +18,7 @@
 
 func (documents) IsTable(key string) bool { return key == "table" }
 func (documents) Prefix() string          { return "" }
+func (documents) TableKey() string        { return "table" }
 func (documents) Table(text []byte) (*route.Table, error) {
 	version, err := strconv.ParseUint(string(text), 10, 64)
 	if err != nil {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -65,12 +65,15 @@
 	if _, stopping := g.stopped(); stopping || g.engines.isolated() {
 		w.Header().Set("Connection", "close")
 	}
-	if !c.findRoute() || !c.prepare() || !c.admit() {
+	if !c.findRoute() || !c.authenticate() || !c.prepare() || !c.admit() {
 		return
 	}
-	g.budget(c.service.ID).Request()
 	ctx, cancel := context.WithDeadline(r.Context(), c.ends)
 	defer cancel()
+	if !c.takeQuota(ctx) {
+		return
+	}
+	g.budget(c.service.ID).Request()
 	if c.service.Engine != nil {
 		c.serveEngine(ctx)
 		return
--- a/gateway/callend.go
+++ b/gateway/callend.go
@@ -26,14 +26,18 @@
 	reasonBudget     reason = "retry-budget"
 	reasonDeadline   reason = "deadline"
 	reasonLeft       reason = "caller-left"
+	reasonLimit      reason = "limit"
 	reasonNoConfig   reason = "no-configuration"
+	reasonNoLeader   reason = "no-quota-leader"
 	reasonNoRoute    reason = "no-route"
 	reasonOverload   reason = "overload"
 	reasonNoUpstream reason = "no-upstream"
 	reasonRefused    reason = "upstream-refused"
 	reasonSlots      reason = "no-slot"
+	reasonStale      reason = "stale-configuration"
 	reasonStopping   reason = "stopping"
 	reasonTooLarge   reason = "too-large"
+	reasonUnknownKey reason = "unknown-key"
 )
 
 // wholeAnswer is an answer that has been read to its end.
@@ -66,6 +70,10 @@
 		c.finish(0, reasonLeft)
 		panic(http.ErrAbortHandler) // nobody reads an answer
 	}
+	if why == reasonUnknownKey && c.ran == 0 {
+		c.refuse(http.StatusUnauthorized, why)
+		return
+	}
 	status, why := endStatus(c.ran, late || ctx.Err() != nil, why)
 	c.refuse(status, why)
 }
@@ -83,9 +91,15 @@
 
 // refuse ends the call with an answer of the gateway's own.
 func (c *call) refuse(status int, why reason) {
+	c.refuseFor(status, why, retryAfter)
+}
+
+// refuseFor ends the call with an answer of the gateway's own, which says when to come
+// back where that may help.
+func (c *call) refuseFor(status int, why reason, again time.Duration) {
 	h := c.writer.Header()
-	if status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", strconv.FormatFloat(jitter(retryAfter).Seconds(), 'f', 3, 64))
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		h.Set("Retry-After", strconv.FormatFloat(jitter(again).Seconds(), 'f', 3, 64))
 	}
 	if c.id != "" {
 		h.Set(c.gateway.config.Headers.RequestID, c.id)
--- a/gateway/callerrequest.go
+++ b/gateway/callerrequest.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/access"
 	"sandbarrow.example/sandbarrow/estate"
 	"sandbarrow.example/sandbarrow/forward"
 	"sandbarrow.example/sandbarrow/promptcache"
@@ -53,6 +54,8 @@
 	// version is the least version of the adapter that may run; 0 for a base model alone,
 	// of which any version may.
 	version sandbarrow.AdapterVersion
+	// workspace is that of the caller's key; nil where the route needs none.
+	workspace *access.Workspace
 }
 
 // prepare reads the request and checks it. On a fault it answers and returns false.
@@ -74,6 +77,7 @@
 		return false
 	}
 	c.header = upstreamHeader(c.request.Header, c.gateway.config.Headers.Reserved)
+	c.hideKey()
 	c.readModel()
 	return true
 }
@@ -221,6 +225,9 @@
 	if c.lastEvent != "" {
 		h.Set(names.LastEvent, c.lastEvent)
 	}
+	if c.workspace != nil {
+		h.Set(names.Workspace, string(c.workspace.ID))
+	}
 	return &forward.Request{
 		Body: c.body, Header: h, Host: c.request.Host, ID: c.id, IDHeader: names.RequestID, Method: c.request.Method,
 		Target: c.request.RequestURI,
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -53,6 +53,7 @@
 
 func (testDocuments) IsTable(key string) bool { return key == "op/table" }
 func (testDocuments) Prefix() string          { return "op/" }
+func (testDocuments) TableKey() string        { return "op/table" }
 func (testDocuments) Table(text []byte) (*route.Table, error) {
 	var t testTable
 	if err := json.Unmarshal(text, &t); err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -78,8 +78,14 @@
 	// RetryShare is the share of a service's requests that all gateways together
 	// may send again, RetrySlack how many more within the users' window.
 	RetryShare, RetrySlack float64
-	StopGrace              time.Duration
-	Store                  sandbarrow.PrefixStore
+	// RevokeBound is how soon after its withdrawal a key must not be served any more; 0
+	// serves callers by the last configuration known.
+	RevokeBound time.Duration
+	StopGrace   time.Duration
+	Store       sandbarrow.PrefixStore
+	// TableStore is asked whether the table of routes is the newest one; nil where
+	// RevokeBound is 0.
+	TableStore estate.Reader
 }
 
 // Gateway serves callers.
@@ -89,6 +95,7 @@
 	engines   *engines
 	estate    *estate.Estate
 	health    *health
+	leads     *quotaLeads
 	list      *listAnswer
 	logger    *slog.Logger
 	metrics   *metrics
@@ -116,13 +123,14 @@
 		weights:   newWeightStore(),
 	}
 	g.engines = newEngines(g)
+	g.leads = newQuotaLeads(g)
 	g.list = &listAnswer{directory: g.directory}
 	return g
 }
 
 // Ready reports whether the balancer may send new connections.
 func (g *Gateway) Ready() bool {
-	return g.stopping.Load() == nil && g.estate.View() != nil && g.directory.View() != nil && !g.engines.isolated()
+	return g.stopping.Load() == nil && g.estate.View() != nil && g.directory.View() != nil && !g.engines.isolated() && g.trusts(time.Now())
 }
 
 // Run serves callers on listener until ctx ends and a planned stop is over.
@@ -141,6 +149,8 @@
 	group.Go(func() error { return g.listWatch().Run(work) })
 	group.Go(func() error { return g.engines.run(work) })
 	group.Go(func() error { return g.learnFromPeers(work) })
+	group.Go(func() error { return g.leads.run(work) })
+	group.Go(func() error { return g.confirmLoop(work) })
 	group.Go(func() error {
 		defer end()
 		return g.stop(ctx, server)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -134,15 +134,14 @@
 	if err := rpc.Call(ctx, methodInstances, enginelink.Mark{Revision: g.directory.Mark()}, &list); err != nil {
 		return false, err
 	}
-	mark, _ := g.estate.Mark()
-	var estate enginelink.Estate
-	if err := rpc.Call(ctx, enginelink.MethodFetch, enginelink.Mark{Revision: mark}, &estate); err != nil {
+	before, _ := g.estate.Mark()
+	if err := enginelink.Fetch(ctx, rpc, g.estate); err != nil {
 		return false, err
 	}
-	g.estate.Update(estate.Items, estate.Mark)
+	after, _ := g.estate.Mark()
 	adopted := g.directory.Adopt(list.Items, list.Mark)
 	if adopted {
 		g.logger.Info("upstreams learnt from a peer", "peer", address, "upstreams", len(list.Items), "revision", uint64(list.Mark))
 	}
-	return adopted || len(estate.Items) > 0, nil
+	return adopted || after > before, nil
 }
--- /dev/null
+++ b/gateway/quotaleads.go
@@ -0,0 +1,194 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"hash/fnv"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/internal/pause"
+	"sandbarrow.example/sandbarrow/quota"
+)
+
+const (
+	// leadPause is the pause between two looks whether a shard needs a leader; that often
+	// this gateway nominates one. Estimate, not measured.
+	leadPause = 100 * time.Millisecond
+	// nominateFor is how long one controller is nominated before the next one is: longer
+	// than the lease of a leader that was lost. Estimate, not measured.
+	nominateFor = 2 * time.Second
+	// suspectFor is how long a leader that did not answer, or leads no more, is not asked.
+	// Estimate, not measured: it may have its lease back after the next renewal.
+	suspectFor = 150 * time.Millisecond
+	// confirmShard is the shard whose leader keeps the configuration confirmed.
+	confirmShard quota.Shard = 0
+)
+
+// quotaLeads follows which controllers lead the quota shards, and nominates one for a
+// shard that has none. It is safe for concurrent use.
+type quotaLeads struct {
+	gateway *Gateway
+
+	mu      sync.Mutex
+	byShard [quota.Shards]shardLead
+}
+
+// shardLead is what is known of a shard's leader.
+type shardLead struct {
+	link *controllerLink
+	// missing is since when there is no usable leader; zero while there is one.
+	missing time.Time
+	// suspect is when the leader last failed to answer.
+	suspect time.Time
+	term    quota.Term
+}
+
+func newQuotaLeads(g *Gateway) *quotaLeads {
+	return &quotaLeads{gateway: g}
+}
+
+// learn applies what a controller announces.
+func (q *quotaLeads) learn(l *controllerLink, leads *enginelink.Leads) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	led := map[quota.Shard]bool{}
+	for _, t := range leads.Terms {
+		if t.Shard < 0 || t.Shard >= quota.Shards {
+			continue
+		}
+		led[t.Shard] = true
+		if s := &q.byShard[t.Shard]; t.Term >= s.term {
+			*s = shardLead{link: l, term: t.Term}
+		}
+	}
+	for i := range q.byShard {
+		if s := &q.byShard[i]; s.link == l && !led[quota.Shard(i)] {
+			s.link = nil
+		}
+	}
+}
+
+// leader returns the controller that leads a shard, with its term, or nil.
+func (q *quotaLeads) leader(s quota.Shard) (*controllerLink, quota.Term) {
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	lead := &q.byShard[s]
+	if !lead.usable(now) {
+		return nil, 0
+	}
+	return lead.link, lead.term
+}
+
+func (s *shardLead) usable(now time.Time) bool {
+	return s.link != nil && now.Sub(s.suspect) >= suspectFor && s.link.up(now)
+}
+
+// doubt keeps that the leader of a term did not answer.
+func (q *quotaLeads) doubt(s quota.Shard, term quota.Term) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if lead := &q.byShard[s]; lead.term == term {
+		lead.suspect = time.Now()
+	}
+}
+
+// confirmer returns the connection to the controller that keeps the configuration
+// confirmed, or nil.
+func (q *quotaLeads) confirmer() *jsonrpc2.Conn {
+	l, _ := q.leader(confirmShard)
+	if l == nil {
+		return nil
+	}
+	return l.connection()
+}
+
+// run nominates leaders until ctx ends.
+func (q *quotaLeads) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		q.nominate(ctx)
+		pause.For(ctx, leadPause)
+	}
+	return nil
+}
+
+// nominate asks a controller to lead, for each shard in use that has no usable leader. All
+// gateways ask the same one first, so that few compete.
+func (q *quotaLeads) nominate(ctx context.Context) {
+	now := time.Now()
+	for s := range q.needed() {
+		since, missing := q.missing(s, now)
+		if !missing {
+			continue
+		}
+		links := q.gateway.engines.upLinks(now)
+		if len(links) == 0 {
+			return
+		}
+		slices.SortFunc(links, func(a, b *controllerLink) int { return cmp.Compare(rank(s, b), rank(s, a)) })
+		chosen := links[int(now.Sub(since)/nominateFor)%len(links)]
+		if rpc := chosen.connection(); rpc != nil {
+			_ = rpc.Notify(ctx, enginelink.MethodLead, enginelink.Lead{Shard: s}) // on a broken link the next look nominates another
+		}
+	}
+}
+
+// missing reports whether a shard has no usable leader, and since when.
+func (q *quotaLeads) missing(s quota.Shard, now time.Time) (time.Time, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	lead := &q.byShard[s]
+	if lead.usable(now) {
+		lead.missing = time.Time{}
+		return time.Time{}, false
+	}
+	if lead.missing.IsZero() {
+		lead.missing = now
+	}
+	return lead.missing, true
+}
+
+// needed are the shards of workspaces with a limit, and that whose leader confirms the
+// configuration.
+func (q *quotaLeads) needed() map[quota.Shard]bool {
+	needed := map[quota.Shard]bool{}
+	view := q.gateway.estate.View()
+	if view == nil || view.Table.Keys == nil {
+		return needed
+	}
+	for w := range view.Table.Keys.Workspaces {
+		if w.Limit.Limited() {
+			needed[quota.ShardOf(w.ID)] = true
+		}
+	}
+	if q.gateway.config.RevokeBound > 0 {
+		needed[confirmShard] = true
+	}
+	return needed
+}
+
+// rank orders the controllers that may lead a shard (rendezvous hashing).
+func rank(s quota.Shard, l *controllerLink) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(strconv.Itoa(int(s)) + " " + l.address)) // never fails
+	return h.Sum64()
+}
+
+// upLinks are the links that are up.
+func (e *engines) upLinks(now time.Time) []*controllerLink {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var up []*controllerLink
+	for _, l := range e.links {
+		if l.up(now) {
+			up = append(up, l)
+		}
+	}
+	return up
+}
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -55,6 +55,11 @@
 		if !pinned {
 			continue
 		}
+		if why := c.forbidden(); why != "" {
+			c.unpin(e)
+			s.why = why
+			break
+		}
 		if !c.maySend() {
 			c.unpin(e)
 			s.why = reasonBudget
--- a/gateway/serveplain.go
+++ b/gateway/serveplain.go
@@ -29,7 +29,14 @@
 	why := reasonNoUpstream
 	for ctx.Err() == nil && time.Until(c.ends) > leastSend {
 		in := c.gateway.choosePlain(c, excluded)
-		if in == nil || !c.maySend() {
+		if in == nil {
+			break
+		}
+		if forbidden := c.forbidden(); forbidden != "" {
+			why = forbidden
+			break
+		}
+		if !c.maySend() {
 			break
 		}
 		excluded[in.ID] = true
--- /dev/null
+++ b/gateway/trust.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/internal/pause"
+)
+
+// This file answers until when this gateway may serve callers by their keys under the
+// configuration that it has: a key may have been withdrawn where it can't see it.
+
+const (
+	// trustShare is the share of the operators' bound for which a configuration is trusted
+	// after it was known to be the newest; the rest is for clocks that run at slightly
+	// other speeds. Estimate, not measured.
+	trustShare = 0.85
+	// confirmPause is the pause between two looks whether a confirmation is due. Estimate,
+	// not measured: short against confirmAfter.
+	confirmPause = 100 * time.Millisecond
+	// confirmAfter is the age at which a confirmation is asked for anew, of the controller
+	// that keeps one for all. Estimate, not measured: several tries fit into the bound.
+	confirmAfter = 700 * time.Millisecond
+	// confirmAlone is the age at which this gateway asks the store itself, since that
+	// controller does not answer or has none. Estimate, not measured.
+	confirmAlone = 1600 * time.Millisecond
+	// confirmTimeout bounds one question. Estimate, not measured.
+	confirmTimeout = 500 * time.Millisecond
+)
+
+// mayTrust decides whether a configuration may be trusted that was known to be the newest
+// so long ago. A bound of 0 trusts the last one known for ever.
+func mayTrust(age, bound time.Duration) bool {
+	return bound <= 0 || age < time.Duration(trustShare*float64(bound))
+}
+
+// trusts reports whether callers may be served by their keys now.
+func (g *Gateway) trusts(now time.Time) bool {
+	if !g.needsTrust() {
+		return true
+	}
+	confirmed, _ := g.estate.Confirmed()
+	return mayTrust(now.Sub(confirmed), g.config.RevokeBound)
+}
+
+// needsTrust reports whether the configuration has keys that may be withdrawn.
+func (g *Gateway) needsTrust() bool {
+	if g.config.RevokeBound <= 0 {
+		return false
+	}
+	view := g.estate.View()
+	return view != nil && view.Table.Keys != nil
+}
+
+// confirmLoop keeps the configuration confirmed until ctx ends.
+func (g *Gateway) confirmLoop(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if g.needsTrust() {
+			g.confirm(ctx)
+		}
+		pause.For(ctx, jitter(confirmPause))
+	}
+	return nil
+}
+
+// confirm asks whether the configuration is the newest, where that is due.
+func (g *Gateway) confirm(ctx context.Context) {
+	confirmed, _ := g.estate.Confirmed()
+	age := time.Since(confirmed)
+	if age < confirmAfter {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	if rpc := g.leads.confirmer(); rpc != nil && age < confirmAlone {
+		if err := enginelink.Fetch(ctx, rpc, g.estate); err != nil {
+			g.logger.Debug("configuration not confirmed by a controller", "error", err.Error())
+		}
+		return
+	}
+	if err := g.estate.ConfirmFrom(ctx, g.config.TableStore); err != nil {
+		g.logger.Debug("configuration not confirmed by the store", "error", err.Error())
+	}
+}
--- a/headernames.go
+++ b/headernames.go
@@ -3,6 +3,8 @@
 // HeaderNames are the names of the headers that callers, gateways and upstreams
 // exchange about a request.
 type HeaderNames struct {
+	// Authorization holds the caller's key. Upstreams never see it where keys are needed.
+	Authorization string
 	// Deadline holds the milliseconds that the caller still waits.
 	Deadline string
 	// ExpectInstance names the only instance that may run the request.
@@ -33,4 +35,7 @@
 	Signature string
 	// Tokens holds the prompt's tokens and the most that may be produced.
 	Tokens string
+	// Workspace names the workspace that the caller's key belongs to. Only a gateway sets
+	// it, whatever callers send.
+	Workspace string
 }
--- a/ids.go
+++ b/ids.go
@@ -62,6 +62,9 @@
 // VersionID names a version of an adapter.
 type VersionID string
 
+// WorkspaceID names a workspace, the customer that a caller's key belongs to.
+type WorkspaceID string
+
 // DigestOf computes the digest of a value.
 func DigestOf(value []byte) Digest {
 	sum := sha256.Sum256(value)
--- a/internal/cmd/controllercmd.go
+++ b/internal/cmd/controllercmd.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
 
 	"sandbarrow.example/sandbarrow/controller"
 	"sandbarrow.example/sandbarrow/platform"
+	"sandbarrow.example/sandbarrow/quota"
 )
 
 // controllerCmd runs a controller.
@@ -31,10 +33,12 @@
 		return errors.NotValidf("%s: no part controller", c.Settings)
 	}
 	client := platformClient()
+	store := platform.NewStore(s.Platform.Store, client)
 	k := controller.New(controller.Config{
-		Box: s.Box.ID, Control: platform.NewEngine(s.Controller.Engine, client), Documents: platform.Documents{},
+		Bound: quota.Bound{Overage: s.Controller.LimitOverage, Slack: s.Controller.LimitSlack, Window: time.Duration(s.Controller.LimitWindow)},
+		Box:   s.Box.ID, Control: platform.NewEngine(s.Controller.Engine, client), Documents: platform.Documents{},
 		Engine: s.Controller.Engine, Logger: d.logger, Metrics: d.registry, Service: s.Controller.Service,
-		Store: platform.NewStore(s.Platform.Store, client),
+		LeaseStore: store, Store: store,
 	})
 	return d.run(c.ctx, "controller", func(ctx context.Context) error {
 		links, err := net.Listen("tcp", s.Listen.RPC)
--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -33,11 +33,13 @@
 	if s.Gateway == nil {
 		return errors.NotValidf("%s: no part gateway", c.Settings)
 	}
+	store := platform.NewStore(s.Platform.Store, platformClient())
 	g := gateway.New(gateway.Config{
 		AcceptAfterStop: gateway.DefaultAcceptAfterStop, Box: s.Box.ID, ControllerPort: strconv.Itoa(s.Gateway.ControllerPort), Documents: platform.Documents{},
 		Domain: s.Box.FailureDomain, Headers: platform.Headers, Instances: platform.Instances{}, LeaveBound: time.Duration(s.Gateway.LeaveBound), Logger: d.logger,
 		Metrics: d.registry, Peers: s.Gateway.Peers, RetryShare: s.Gateway.RetryShare, RetrySlack: s.Gateway.RetrySlack,
-		StopGrace: time.Duration(s.Gateway.StopGrace), Store: platform.NewStore(s.Platform.Store, platformClient()),
+		RevokeBound: time.Duration(s.Gateway.RevokeBound),
+		StopGrace:   time.Duration(s.Gateway.StopGrace), Store: store, TableStore: store,
 	})
 	return d.run(c.ctx, "gateway", func(ctx context.Context) error {
 		callers, err := net.Listen("tcp", s.Listen.HTTP)
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -50,7 +50,7 @@
 	key    string
 	logger *slog.Logger
 	now    func() time.Time
-	store  sandbarrow.Store
+	store  sandbarrow.LeaseStore
 	ttl    time.Duration
 	value  string
 
@@ -70,7 +70,7 @@
 }
 
 // NewHolder returns a holder that has no lease until Run.
-func NewHolder(s sandbarrow.Store, key string, ttl time.Duration, logger *slog.Logger, options ...Option) *Holder {
+func NewHolder(s sandbarrow.LeaseStore, key string, ttl time.Duration, logger *slog.Logger, options ...Option) *Holder {
 	h := &Holder{key: key, logger: logger, now: time.Now, store: s, ttl: ttl, value: uuid.NewString()}
 	for _, o := range options {
 		o(h)
@@ -106,7 +106,7 @@
 		case <-ctx.Done():
 		}
 	}
-	h.giveBack()
+	h.Release()
 	return nil
 }
 
@@ -177,8 +177,8 @@
 	return nil
 }
 
-// giveBack lets the next holder in at once.
-func (h *Holder) giveBack() {
+// Release gives the lease back, which lets the next holder in at once.
+func (h *Holder) Release() {
 	h.mu.Lock()
 	id := h.lease
 	h.lease, h.until, h.failedAt = "", time.Time{}, time.Time{}
--- /dev/null
+++ b/quota/leader/candidate.go
@@ -0,0 +1,153 @@
+package leader
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/pause"
+	"sandbarrow.example/sandbarrow/lease"
+	"sandbarrow.example/sandbarrow/quota"
+)
+
+const (
+	// keyPrefix is the prefix of the shards' keys in the platform's store.
+	keyPrefix = "sandbarrow/quota/"
+	// ttl is the life of a shard's lease: how long its workspaces wait at most after its
+	// leader is lost. A shorter one is lost to a slow store. Estimate, not measured.
+	ttl = 1500 * time.Millisecond
+	// renewPause is the pause between two renewals: two may fail within the three quarters
+	// of ttl for which a holder trusts its lease. Estimate, not measured.
+	renewPause = 350 * time.Millisecond
+	// tryPause is the pause between two tries of a candidate. Estimate, not measured: short
+	// against ttl.
+	tryPause = 120 * time.Millisecond
+	// callTimeout bounds one step at the store. Estimate, not measured: a slow store (60
+	// times 4 ms) answers within it.
+	callTimeout = 400 * time.Millisecond
+	// nominationLife is how long a candidate tries after its last nomination. Gateways
+	// nominate several times a second while there is no leader.
+	nominationLife = 700 * time.Millisecond
+	// confirmShard is the shard whose leader keeps the operators' table confirmed, so that
+	// one process of all asks the store for it.
+	confirmShard quota.Shard = 0
+	// confirmPause is the pause between two confirmations: several within the time for
+	// which gateways may trust a table (5 s seen). Each is a call to the store.
+	confirmPause = 600 * time.Millisecond
+)
+
+// term is one time of leading a shard.
+type term struct {
+	granter *quota.Granter
+	holder  *lease.Holder
+	number  quota.Term
+}
+
+// holds reports whether the term's lease is still held.
+func (t *term) holds() bool {
+	g := t.holder.Check()
+	return g.State == lease.Held && g.Token == t.number
+}
+
+// candidate competes for one shard, leads it, and gives up when nobody nominates it.
+type candidate struct {
+	holder *lease.Holder
+	leader *Leader
+	shard  quota.Shard
+	// term is the running one, or nil; the loop's own.
+	term *term
+	// confirmedAt is when the table was confirmed last; the loop's own.
+	confirmedAt time.Time
+
+	mu        sync.Mutex
+	nominated time.Time
+}
+
+func newCandidate(l *Leader, s quota.Shard) *candidate {
+	holder := lease.NewHolder(l.config.Store, key(s), ttl, l.config.Logger)
+	return &candidate{holder: holder, leader: l, nominated: time.Now(), shard: s}
+}
+
+func key(s quota.Shard) string { return keyPrefix + strconv.Itoa(int(s)) }
+
+// nominate keeps the candidate trying.
+func (c *candidate) nominate() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nominated = time.Now()
+}
+
+func (c *candidate) wanted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.nominated) < nominationLife
+}
+
+// run competes for the shard while it is nominated, and leads it while it holds the lease.
+func (c *candidate) run(ctx context.Context) {
+	defer c.holder.Release()
+	defer c.leader.end(c.shard, "released")
+	for ctx.Err() == nil {
+		renewed := c.step(ctx)
+		c.follow()
+		switch {
+		case c.term != nil && renewed:
+			c.confirm(ctx)
+			pause.For(ctx, renewPause)
+		case c.term != nil:
+			pause.For(ctx, tryPause)
+		case c.wanted():
+			pause.For(ctx, tryPause)
+		default:
+			return
+		}
+	}
+}
+
+// step renews the lease, or takes it where nobody has it, and reports whether it did.
+func (c *candidate) step(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if c.term == nil {
+		_, err := c.leader.config.Store.Get(ctx, key(c.shard))
+		if !errors.Is(err, sandbarrow.ErrStoreNotFound) {
+			return false // held, or not known: one call in place of the four of a vain try
+		}
+	}
+	if err := c.holder.Step(ctx); err != nil {
+		c.leader.config.Logger.Info("quota lease not renewed", "shard", int(c.shard), "error", err.Error())
+		return false
+	}
+	return true
+}
+
+// follow begins and ends terms as the lease is held.
+func (c *candidate) follow() {
+	if c.term != nil && !c.term.holds() {
+		c.leader.end(c.shard, "lease lost")
+		c.term = nil
+	}
+	held := c.holder.Check()
+	if c.term == nil && held.State == lease.Held {
+		c.term = &term{granter: quota.NewGranter(c.leader.config.Bound, time.Now()), holder: c.holder, number: held.Token}
+		c.leader.begin(c.shard, c.term)
+	}
+}
+
+// confirm asks the store which table is the newest one, if this shard's leader does that
+// for all.
+func (c *candidate) confirm(ctx context.Context) {
+	if c.shard != confirmShard || time.Since(c.confirmedAt) < confirmPause {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	c.confirmedAt = time.Now()
+	if err := c.leader.config.Estate.ConfirmFrom(ctx, c.leader.config.Store); err != nil {
+		c.leader.config.Logger.Info("configuration not confirmed", "error", err.Error())
+	}
+}
--- a/route/route.go
+++ b/route/route.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/access"
 )
 
 // Kind says what may be done with a request of a route.
@@ -49,6 +50,8 @@
 	Prefix    string
 	// Priority is 0 for the most urgent.
 	Priority int
+	// Public routes serve callers without a key, also where others need one.
+	Public bool
 	// Resumable streams may be continued at another upstream.
 	Resumable bool
 	Targets   []Target
@@ -113,6 +116,8 @@
 
 // Table is an immutable set of routes and services.
 type Table struct {
+	// Keys are those of the workspaces; nil where callers need none.
+	Keys     *access.Keys
 	Limits   Limits
 	Services map[sandbarrow.ServiceID]*Service
 	// Version is the operators' own number of the table.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -50,6 +50,12 @@
 type Controller struct {
 	// Engine is the engine's address, on the same box.
 	Engine string `json:"engine"`
+	// LimitOverage is the share by which workspaces may exceed their limits.
+	LimitOverage float64 `json:"limit_overage"`
+	// LimitSlack is by how many units they may exceed them beside that, in each window.
+	LimitSlack float64 `json:"limit_slack"`
+	// LimitWindow is the span over which what a workspace uses is summed up.
+	LimitWindow jsonc.Duration `json:"limit_window"`
 	// Service is the service that the engine belongs to.
 	Service sandbarrow.ServiceID `json:"service"`
 }
@@ -68,6 +74,9 @@
 	RetryShare float64 `json:"retry_share"`
 	// RetrySlack is how many repeats they may send beyond that share.
 	RetrySlack float64 `json:"retry_slack"`
+	// RevokeBound is how soon after its withdrawal a key must not be served any more, also
+	// where the store can't be reached; 0 serves callers by the last configuration known.
+	RevokeBound jsonc.Duration `json:"revoke_bound"`
 	// StopGrace bounds a planned stop; what still runs then is cut.
 	StopGrace jsonc.Duration `json:"stop_grace"`
 }
@@ -182,6 +191,9 @@
 		setDefault(&e.RetryShare, 0.1)
 		setDefault(&e.StopGrace, jsonc.Duration(120*time.Second))
 	}
+	if k := s.Controller; k != nil {
+		setDefault(&k.LimitWindow, jsonc.Duration(10*time.Second))
+	}
 	if g := s.Gateway; g != nil {
 		setDefault(&g.LeaveBound, jsonc.Duration(2*time.Second))
 		setDefault(&g.RetrySlack, 50)
@@ -267,6 +279,9 @@
 	c.address("listen.metrics", s.Listen.Metrics)
 	c.address("controller.engine", s.Controller.Engine)
 	c.require(s.Controller.Service != "", "controller.service", "is missing")
+	c.require(s.Controller.LimitOverage >= 0, "controller.limit_overage", "must not be negative")
+	c.require(s.Controller.LimitSlack >= 0, "controller.limit_slack", "must not be negative")
+	c.require(s.Controller.LimitWindow > 0, "controller.limit_window", "must be positive")
 }
 
 func (c *checker) gateway(s *Settings) {
@@ -281,6 +296,7 @@
 	}
 	c.require(g.RetrySlack >= 0, "gateway.retry_slack", "must not be negative")
 	c.require(g.RetryShare >= 0 && g.RetryShare <= 1, "gateway.retry_share", "%v: want 0 to 1", g.RetryShare)
+	c.require(g.RevokeBound >= 0, "gateway.revoke_bound", "must not be negative")
 	c.require(g.StopGrace > 0, "gateway.stop_grace", "must be positive")
 }
 
--- a/store.go
+++ b/store.go
@@ -30,8 +30,8 @@
 	Value    []byte
 }
 
-// Store is the platform's key-value service.
-type Store interface {
+// LeaseStore is the part of the platform's key-value service that leases need.
+type LeaseStore interface {
 	// CompareAndSwap writes value if the key is at previous (0: absent). A
 	// non-empty lease ties the key's life to it.
 	CompareAndSwap(ctx context.Context, key string, previous StoreRevision, value []byte, lease LeaseID) (StoreRevision, error)
@@ -43,6 +43,11 @@
 	RenewLease(ctx context.Context, lease LeaseID) error
 	// RevokeLease ends a lease and removes its keys.
 	RevokeLease(ctx context.Context, lease LeaseID) error
+}
+
+// Store is the platform's key-value service.
+type Store interface {
+	LeaseStore
 	// Watch waits until the key is past after and reads it. It returns
 	// ErrStoreNotFound when the wait ends without a change.
 	Watch(ctx context.Context, key string, after StoreRevision) (Item, error)
