--- a/quota/leader/leader.go
+++ b/quota/leader/leader.go
@@ -107,6 +107,9 @@
 
 // Take grants what a request counts, or refuses it.
 func (l *Leader) Take(q *enginelink.Take) enginelink.Taken {
+	// Before the lease is looked at: a process that is frozen in between grants as of a
+	// moment at which it held the lease.
+	now := time.Now()
 	view := l.config.Estate.View()
 	if view == nil {
 		return enginelink.Taken{NotLeading: true}
@@ -121,7 +124,7 @@
 	if t == nil || !t.holds() {
 		return enginelink.Taken{NotLeading: true}
 	}
-	g := t.granter.Ask(time.Now(), w.ID, &w.Limit, q.Units)
+	g := t.granter.Ask(now, w.ID, &w.Limit, q.Units)
 	return enginelink.Taken{Granted: g.Granted, LifeMS: g.Life.Milliseconds(), RetryMS: g.RetryAfter.Milliseconds()}
 }
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -65,6 +65,9 @@
 	// depthShare is the least share of what is allowed in a window that a workspace may
 	// use at once.
 	depthShare = 0.1
+	// leastDepth is the least depth, in units: a limit of a few requests in a window would
+	// grant none with less.
+	leastDepth = 2
 	// overdraftShare is the part of the depth by which a request may exceed what is there.
 	// Without it a workspace at its limit would have its small requests served and its
 	// large ones never.
@@ -90,7 +93,7 @@
 // leaves room for the life of grants; else that life is cut first, and then the rate.
 func PlanFor(b Bound, l *access.Limit) Plan {
 	most := b.allowed(l) * keptShare
-	least := most * depthShare
+	least := max(most*depthShare, min(leastDepth, most/2))
 	p := Plan{Life: usualLife, Rate: l.PerSecond}
 	room := func() float64 { return most - p.Rate*(b.Window+p.Life).Seconds() }
 	if room() < least {
