Test keys, limits, lost leaders and stale configurations at a gateway, and refuse by a problem body

Change: a gateway with controllers in one process: forged and repeated headers, public routes, unknown and withdrawn keys, a look right before each send, a limit beside a workspace that keeps within its own, a leader that is lost, a configuration that nobody can confirm. 401 and 429 carry a problem body (RFC 9457) that says the request did not run.

--- a/gateway/callend.go
+++ b/gateway/callend.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
@@ -104,8 +104,28 @@
 	if c.id != "" {
 		h.Set(c.gateway.config.Headers.RequestID, c.id)
 	}
-	h.Set("Content-Type", "text/plain; charset=utf-8")
+	contentType, body := refusalBody(status, why)
+	h.Set("Content-Type", contentType)
 	c.writer.WriteHeader(status)
-	_, _ = io.WriteString(c.writer, string(why)+"\n") // a caller that left needs no answer
+	_, _ = c.writer.Write(body) // a caller that left needs no answer
 	c.finish(status, why)
 }
+
+// problem is the body of a refusal that concerns the caller's own rights, by RFC 9457.
+type problem struct {
+	Detail string `json:"detail"`
+	Status int    `json:"status"`
+	Title  string `json:"title"`
+	Type   string `json:"type"`
+}
+
+// refusalBody is the body of a refusal: a problem for one that concerns the caller's key or
+// limit, else the reason as text.
+func refusalBody(status int, why reason) (contentType string, body []byte) {
+	if status != http.StatusUnauthorized && status != http.StatusTooManyRequests {
+		return "text/plain; charset=utf-8", []byte(string(why) + "\n")
+	}
+	p := problem{Detail: string(why) + ": the request did not run", Status: status, Title: http.StatusText(status), Type: "about:blank"}
+	body, _ = json.Marshal(p) // texts and numbers always marshal
+	return "application/problem+json", body
+}
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -21,9 +21,11 @@
 	"gotest.tools/v3/assert"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/access"
 	"sandbarrow.example/sandbarrow/controller"
 	"sandbarrow.example/sandbarrow/estate"
 	"sandbarrow.example/sandbarrow/internal/await"
+	"sandbarrow.example/sandbarrow/quota"
 	"sandbarrow.example/sandbarrow/route"
 	"sandbarrow.example/sandbarrow/store"
 )
@@ -40,7 +42,7 @@
 	Deadline: "T-Deadline", ExpectInstance: "T-Instance-Wanted", ExpectVersion: "T-Version-Wanted", Instance: "T-Instance",
 	LastEvent: "Last-Event-Id", Model: "T-Model", MoveFrom: "T-Move-From", NotRun: "T-Not-Run", Priority: "T-Priority",
 	Prompt: "T-Prompt", RequestID: "T-Request", Reserved: []string{"T-Copy-From", "T-Hold", "T-Instance-Wanted", "T-Move-From", "T-Priority", "T-Version-Wanted"},
-	Signature: "T-Signature", Tokens: "T-Tokens",
+	Authorization: "Authorization", Signature: "T-Signature", Tokens: "T-Tokens", Workspace: "T-Workspace",
 }
 
 // testDocuments reads tables and versions as JSON.
@@ -49,6 +51,8 @@
 type testTable struct {
 	Routes  []route.Route
 	Version uint64
+	// Workspaces is nil where callers need no key.
+	Workspaces []access.Entry
 }
 
 func (testDocuments) IsTable(key string) bool { return key == "op/table" }
@@ -59,10 +63,14 @@
 	if err := json.Unmarshal(text, &t); err != nil {
 		return nil, errors.Annotate(route.ErrInvalid, err.Error())
 	}
-	return route.NewTable(t.Version, t.Routes, []route.Service{
+	table, err := route.NewTable(t.Version, t.Routes, []route.Service{
 		{ID: testPlain},
 		{ID: testEngines, HealthPath: "/health", Engine: &route.Engine{AdapterSlots: 2, MemoryTokens: 100_000, Models: []route.Model{{ID: testModel}}, MovePerToken: time.Microsecond}},
 	}, route.Limits{MaxBodyBytes: 1000, MaxHeaderBytes: 4000})
+	if err == nil && t.Workspaces != nil {
+		table.Keys = access.NewKeys(t.Workspaces)
+	}
+	return table, err
 }
 
 func (testDocuments) Version(it sandbarrow.KeyItem) (sandbarrow.AdapterKey, sandbarrow.AdapterVersion, error) {
@@ -241,11 +249,19 @@
 	store     *store.Memory
 	url       string
 	version   uint64
+	// workspaces are those of the next configuration.
+	workspaces []access.Entry
 }
 
 // newFleet starts engines, on loopback addresses of their own so that their
 // controllers can share a port, and plain services.
 func newFleet(t *testing.T, engines, plain int) *fleet {
+	t.Helper()
+	return newFleetWith(t, engines, plain, func(*Config) {})
+}
+
+// newFleetWith starts a fleet whose gateway has a changed configuration.
+func newFleetWith(t *testing.T, engines, plain int, change func(*Config)) *fleet {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	f := &fleet{addresses: map[string]*runner{}, stop: stop, store: store.NewMemory()}
@@ -259,7 +275,8 @@
 		go func() { _ = http.Serve(moved, r) }()
 		k := controller.New(controller.Config{
 			Box: "box", Control: r, Documents: testDocuments{}, Engine: address, Logger: logger,
-			Metrics: prometheus.NewRegistry(), Service: testEngines, Store: f.store,
+			LeaseStore: f.store, Metrics: prometheus.NewRegistry(), Service: testEngines, Store: f.store,
+			Bound: quota.Bound{Overage: 0.1, Window: 2 * time.Second},
 		})
 		go func() { _ = k.Run(ctx) }()
 		go func() { _ = k.Serve(ctx, links[i]) }()
@@ -274,10 +291,12 @@
 		f.list(t, r, r.server.Listener.Addr().String(), false)
 		f.runners = append(f.runners, r)
 	}
-	f.gateway = New(Config{
+	config := Config{
 		AcceptAfterStop: 100 * time.Millisecond, Box: "gateway", ControllerPort: port, Documents: testDocuments{}, Headers: testNames, Instances: testInstances{},
-		Logger: logger, Metrics: prometheus.NewRegistry(), RetryShare: 0.2, RetrySlack: 50, StopGrace: 4 * time.Second, Store: f.store,
-	})
+		Logger: logger, Metrics: prometheus.NewRegistry(), RetryShare: 0.2, RetrySlack: 50, StopGrace: 4 * time.Second, Store: f.store, TableStore: f.store,
+	}
+	change(&config)
+	f.gateway = New(config)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	f.url = "http://" + listener.Addr().String()
@@ -354,7 +373,7 @@
 func (f *fleet) configure(t *testing.T, routes ...route.Route) {
 	t.Helper()
 	f.version++
-	f.put(t, "op/table", testTable{Routes: routes, Version: f.version})
+	f.put(t, "op/table", testTable{Routes: routes, Version: f.version, Workspaces: f.workspaces})
 	eventually(t, func() bool {
 		v := f.gateway.estate.View()
 		return v != nil && v.Table.Version == f.version && f.gateway.Ready() && f.linked()
--- /dev/null
+++ b/gateway/workspace_test.go
@@ -0,0 +1,229 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+
+	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/access"
+	"sandbarrow.example/sandbarrow/quota"
+	"sandbarrow.example/sandbarrow/route"
+)
+
+// red and blue are two workspaces without limits.
+func redAndBlue() []access.Entry {
+	return []access.Entry{
+		{Keys: []string{"red-key"}, Workspace: access.Workspace{ID: "red"}},
+		{Keys: []string{"blue-key"}, Workspace: access.Workspace{ID: "blue"}},
+	}
+}
+
+func withKey(key string) map[string]string {
+	return map[string]string{"Authorization": "Bearer " + key}
+}
+
+func publicRoute() route.Route {
+	r := plainRoute(route.KindSafe)
+	r.Name, r.Prefix, r.Public = "public", "/open/", true
+	return r
+}
+
+// Upstreams see the workspace of the caller's key, whatever the caller says, and never the
+// key itself.
+func TestWorkspaceOfTheKey(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.workspaces = redAndBlue()
+	f.configure(t, plainRoute(route.KindSafe), streamRoute(true), publicRoute())
+	forged := withKey("red-key")
+	forged["t-workspace"], forged["X-T-Workspace"] = "blue", "blue"
+	for _, path := range []string{"/p/x", "/s/x"} {
+		header := map[string]string{testNames.Model: testModel}
+		for name, value := range forged {
+			header[name] = value
+		}
+		got := f.send(t.Context(), http.MethodPost, path, header)
+		assert.Equal(t, got.status, http.StatusOK, "%s: %s", path, got.body)
+	}
+	assert.Equal(t, f.send(t.Context(), http.MethodPost, "/open/x", map[string]string{"Authorization": "Bearer whatever", testNames.Workspace: "blue"}).status, http.StatusOK)
+	for i, r := range f.runners {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		assert.Assert(t, len(r.got) > 0)
+		for _, h := range r.got {
+			if h.Get(testNames.RequestID) == "" {
+				continue // a report or a health check
+			}
+			assert.Equal(t, h.Get("Authorization"), "")
+			if want := h.Values(testNames.Workspace); len(want) > 0 || i == 0 {
+				assert.DeepEqual(t, want, []string{"red"})
+			}
+		}
+	}
+}
+
+// A caller without a known key is refused, and its request is sent nowhere.
+func TestUnknownKey(t *testing.T) {
+	f := newFleet(t, 0, 1)
+	f.workspaces = redAndBlue()
+	f.configure(t, plainRoute(route.KindSafe))
+	for _, header := range []map[string]string{nil, withKey("green-key"), {"Authorization": "red-key"}, {"Authorization": "Basic red-key"}} {
+		got := f.send(t.Context(), http.MethodPost, "/p/x", header)
+		assert.Equal(t, got.status, http.StatusUnauthorized)
+		assert.Equal(t, got.header.Get("Content-Type"), "application/problem+json")
+		assert.Assert(t, strings.Contains(got.body, "did not run"), got.body)
+		assert.Assert(t, !strings.Contains(got.body, "green-key"), got.body)
+	}
+	assert.Equal(t, len(f.runners[0].runs()), 0)
+}
+
+// A key that is withdrawn is refused, one that is added is served.
+func TestKeysChange(t *testing.T) {
+	f := newFleet(t, 0, 1)
+	f.workspaces = redAndBlue()
+	f.configure(t, plainRoute(route.KindSafe))
+	assert.Equal(t, f.send(t.Context(), http.MethodPost, "/p/x", withKey("red-key")).status, http.StatusOK)
+	f.workspaces[0].Keys = []string{"red-key-2"}
+	f.configure(t, plainRoute(route.KindSafe))
+	assert.Equal(t, f.send(t.Context(), http.MethodPost, "/p/x", withKey("red-key")).status, http.StatusUnauthorized)
+	assert.Equal(t, f.send(t.Context(), http.MethodPost, "/p/x", withKey("red-key-2")).status, http.StatusOK)
+}
+
+// A request that waited is looked at once more before it is sent: its key may have been
+// withdrawn, or passed on to another workspace.
+func TestForbidden(t *testing.T) {
+	f := newFleet(t, 0, 1)
+	f.workspaces = redAndBlue()
+	f.configure(t, plainRoute(route.KindSafe))
+	c := &call{gateway: f.gateway}
+	c.request, _ = http.NewRequest(http.MethodPost, "/p/x", http.NoBody)
+	c.request.Header.Set("Authorization", "Bearer red-key")
+	c.view = f.gateway.estate.View()
+	c.workspace = c.findWorkspace(c.view.Table.Keys)
+	assert.Equal(t, c.forbidden(), reason(""))
+	f.workspaces[0].Keys, f.workspaces[1].Keys = nil, []string{"red-key"}
+	f.configure(t, plainRoute(route.KindSafe))
+	assert.Equal(t, c.forbidden(), reason(""))
+	assert.Equal(t, c.workspace.ID, sandbarrow.WorkspaceID("blue"))
+	f.workspaces[1].Keys = nil
+	f.configure(t, plainRoute(route.KindSafe))
+	assert.Equal(t, c.forbidden(), reasonUnknownKey)
+}
+
+// What is over a workspace's limit is refused with when to come back; other workspaces are
+// served as if it were not there.
+func TestLimit(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	f.workspaces = redAndBlue()
+	f.workspaces[0].Workspace.Limit = access.Limit{Burst: 4, PerSecond: 4, Unit: access.UnitRequests}
+	f.workspaces[1].Workspace.Limit = access.Limit{Burst: 10_000, PerSecond: 10_000, Unit: access.UnitRequests}
+	f.configure(t, plainRoute(route.KindUnsafe))
+	f.awaitLeaders(t)
+	served, refused := 0, 0
+	for range 40 {
+		switch got := f.send(t.Context(), http.MethodPost, "/p/x", withKey("red-key")); got.status {
+		case http.StatusOK:
+			served++
+		case http.StatusTooManyRequests:
+			refused++
+			assert.Assert(t, got.header.Get("Retry-After") != "")
+		default:
+			t.Fatalf("status %d: %s", got.status, got.body)
+		}
+		assert.Equal(t, f.send(t.Context(), http.MethodPost, "/p/x", withKey("blue-key")).status, http.StatusOK)
+	}
+	assert.Assert(t, served > 0 && refused > 20, "%d served, %d refused", served, refused)
+	assert.Equal(t, len(f.runners[2].runs()), served+40)
+}
+
+// awaitLeaders waits until each shard has a leader.
+func (f *fleet) awaitLeaders(t *testing.T) {
+	t.Helper()
+	eventually(t, func() bool {
+		for s := range f.gateway.leads.needed() {
+			if l, _ := f.gateway.leads.leader(s); l == nil {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// When the leader of a shard is lost, another one takes over, and requests that came
+// meanwhile wait for it.
+func TestLeaderIsLost(t *testing.T) {
+	f := newFleet(t, 3, 1)
+	f.workspaces = redAndBlue()
+	f.workspaces[0].Workspace.Limit = access.Limit{Burst: 1000, PerSecond: 1000, Unit: access.UnitRequests}
+	f.configure(t, plainRoute(route.KindUnsafe))
+	f.awaitLeaders(t)
+	lead, term := f.gateway.leads.leader(quota.ShardOf("red"))
+	lead.cancel() // the link to the leader breaks for good
+	eventually(t, func() bool { l, _ := f.gateway.leads.leader(quota.ShardOf("red")); return l != lead })
+	// The leader holds its lease as long as it renews it, so take its key away as well.
+	_, err := f.store.Commit(t.Context(), sandbarrow.Transaction{Remove: []string{leaseKey("red")}})
+	assert.NilError(t, err)
+	eventually(t, func() bool {
+		return f.send(t.Context(), http.MethodPost, "/p/x", withKey("red-key")).status == http.StatusOK
+	})
+	_, now := f.gateway.leads.leader(quota.ShardOf("red"))
+	assert.Assert(t, now > term)
+}
+
+func leaseKey(id sandbarrow.WorkspaceID) string {
+	return "sandbarrow/quota/" + string(rune('0'+quota.ShardOf(id)))
+}
+
+// unreachable is a store that can be read until it is cut off.
+type unreachable struct {
+	cut   atomic.Bool
+	store interface {
+		Get(ctx context.Context, key string) (sandbarrow.Item, error)
+	}
+}
+
+func (u *unreachable) Get(ctx context.Context, key string) (sandbarrow.Item, error) {
+	if u.cut.Load() {
+		return sandbarrow.Item{}, errors.New("cut off")
+	}
+	return u.store.Get(ctx, key)
+}
+
+// Where nobody can tell for too long that the configuration is the newest one, callers
+// with keys are refused, and public routes go on.
+func TestStaleConfiguration(t *testing.T) {
+	u := &unreachable{}
+	f := newFleetWith(t, 0, 1, func(c *Config) {
+		u.store, _ = c.Store.(interface {
+			Get(ctx context.Context, key string) (sandbarrow.Item, error)
+		})
+		c.RevokeBound, c.TableStore = 2*time.Second, u
+	})
+	f.workspaces = redAndBlue()
+	f.configure(t, plainRoute(route.KindSafe), publicRoute())
+	assert.Equal(t, f.send(t.Context(), http.MethodPost, "/p/x", withKey("red-key")).status, http.StatusOK)
+	u.cut.Store(true)
+	began := time.Now()
+	eventually(t, func() bool { return !f.gateway.trusts(time.Now()) })
+	assert.Assert(t, time.Since(began) < 2*time.Second, "trusted for %v", time.Since(began))
+	got := f.send(t.Context(), http.MethodPost, "/p/x", withKey("red-key"))
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Equal(t, f.send(t.Context(), http.MethodPost, "/open/x", nil).status, http.StatusOK)
+	u.cut.Store(false)
+	eventually(t, func() bool {
+		return f.send(t.Context(), http.MethodPost, "/p/x", withKey("red-key")).status == http.StatusOK
+	})
+}
+
+func TestMayTrust(t *testing.T) {
+	assert.Assert(t, mayTrust(time.Hour, 0))
+	assert.Assert(t, mayTrust(4*time.Second, 5*time.Second))
+	assert.Assert(t, !mayTrust(4500*time.Millisecond, 5*time.Second))
+}
