Tell the starts of an upstream apart that has kept its id, and use no entry of another writer

Cause: a runner may start again under the id that it had; it then holds and knows nothing of before, and its counts start anew. All that was remembered of an upstream was keyed by that id. An entry may come from another writer; a malformed one left the last good one in use. Change: an InstanceID names the id in the list and the time of start, composed where the platform's words are decoded, so that everything keyed by it is of one start: choice, health, pools, what a link knows, the engine's own memory. The list itself is keyed by ListedID. The controller takes another time of start in a report for a restart, and keeps a slot free for each load without answer that the new start may still carry out: its sequence comes to the same numbers. An entry that lacks a field, has one of another type, an unknown state or a time of start that is no whole number names no upstream, and one that turns bad takes its upstream out of use. Ruled out: ordering starts by their times, since the time of day may jump; the store's revisions order them.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -80,7 +80,11 @@
 	failedReports int
 	// instance is the engine's start, or "" while it is not known.
 	instance sandbarrow.InstanceID
-	links    map[*link]bool
+	// late are the orders of earlier starts that may come yet.
+	late lateLoads
+	// named is the id of the engine that was identified last.
+	named sandbarrow.ListedID
+	links map[*link]bool
 	// orphans are pins whose link has ended, for orphanGrace.
 	orphans   map[sandbarrow.RequestID]*pin
 	published *publisher
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -293,3 +293,65 @@
 	assert.Equal(t, len(l.pins), 0)
 	assert.Equal(t, c.slots.pins[key("a")], 0)
 }
+
+// The story of the failure: an engine starts again under the id that it had while an order
+// to load is on its way. Its sequence begins anew, and when it comes to the number that the
+// order names, the order is carried out: by then the slots are full, and the engine ends.
+func TestLateLoadOfAnEarlierStartFindsASlot(t *testing.T) {
+	f := newFakeEngine(testSlots)
+	f.sameID, f.started = true, 100
+	c := newTestController(t, f)
+	step(t, c) // loads the base model at sequence 0
+	use := func(adapter string, v sandbarrow.AdapterVersion) {
+		_, p := ask(c, adapter, v)
+		step(t, c)
+		step(t, c)
+		c.mu.Lock()
+		c.slots.unpin(c.now(), p)
+		c.mu.Unlock()
+	}
+	for i := range testSlots {
+		use(fmt.Sprintf("first%d", i), 0)
+	}
+	f.loseNext, f.loseLoads = 1, true
+	c.unreported = unreportedPins{}
+	_, _ = ask(c, "late", 0)
+	step(t, c) // a slot is freed for it, then it is sent, without answer
+	assert.Equal(t, len(f.late), 1)
+	f.restart()
+	step(t, c)
+	for i := range testSlots {
+		use(fmt.Sprintf("second%d", i), 0)
+		f.tryLate()
+	}
+	// A new version takes the place of one that is held: all slots stay taken.
+	use(fmt.Sprintf("second%d", testSlots-1), 2)
+	f.tryLate()
+	assert.Assert(t, !f.overfull, "a late load of the time before the restart found no slot")
+}
+
+// An engine that starts again under its id, with as many orders as before, is another
+// instance: what waits for the last one is refused, and so is who knows that one.
+func TestStartUnderTheSameID(t *testing.T) {
+	f := newFakeEngine(testSlots)
+	f.sameID, f.started = true, 100
+	f.models = []sandbarrow.BaseModelID{testModel}
+	c := newTestController(t, f)
+	step(t, c)
+	_, _ = ask(c, "a", 0)
+	step(t, c)
+	before := c.instance
+	assert.Equal(t, before, sandbarrow.InstanceID("engine@100"))
+	f.mu.Lock()
+	f.started = 200 // all else as it was: the models that it begins with, and the sequence
+	f.mu.Unlock()
+	step(t, c)
+	_, _ = ask(c, "b", 0)
+	step(t, c)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	assert.Equal(t, c.instance, sandbarrow.InstanceID("engine@200"))
+	refusal, refused := c.refuseAtOnce(&enginelink.Acquire{Instance: before, Model: testModel})
+	assert.Assert(t, refused)
+	assert.Equal(t, refusal.Refused, enginelink.RefuseInstance)
+}
--- a/controller/engineloop.go
+++ b/controller/engineloop.go
@@ -68,6 +68,7 @@
 	if c.hasRestarted(&r) {
 		c.logger.Warn("engine restarted", "sequence", r.Sequence, "before", c.sequence, "instance", string(c.instance))
 		c.instance = ""
+		c.late.restarted()
 		c.slots.restarted(c.now())
 	}
 	if r.Draining && !c.reported.Draining {
@@ -97,9 +98,12 @@
 }
 
 // hasRestarted reports whether a report is of a later start of the engine than the last
-// one: its count of orders began anew, or it holds no base model any more, which none is
-// ever ordered to unload. The caller holds mu.
+// one: it says so, its count of orders began anew, or it holds no base model any more,
+// which none is ever ordered to unload. The caller holds mu.
 func (c *Controller) hasRestarted(r *sandbarrow.EngineReport) bool {
+	if r.Started != 0 && c.reported.Started != 0 && r.Started != c.reported.Started {
+		return true
+	}
 	return r.Sequence < c.sequence || len(r.Models) == 0 && len(c.reported.Models) > 0
 }
 
@@ -133,7 +137,7 @@
 func (c *Controller) applyCapacity() {
 	c.slots.capacity = 0
 	if service := c.ownService(); service != nil && service.Engine != nil {
-		c.slots.capacity = service.Engine.AdapterSlots
+		c.slots.capacity = max(1, service.Engine.AdapterSlots-c.late.possible(c.now(), c.sequence))
 		c.slots.kept.SetCapacity(service.Engine.MemoryTokens)
 	}
 }
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -42,13 +42,27 @@
 		c.logger.Warn("engine not identified", "error", err.Error())
 		return false
 	}
-	c.logger.Info("engine identified", "instance", string(id))
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.instance = id
+	if id != c.named {
+		c.named = id
+		c.late.renamed()
+	}
+	c.instance = sandbarrow.NewInstanceID(id, c.reported.Started)
+	c.logger.Info("engine identified", "instance", string(c.instance))
 	return true
 }
 
+// noteLateLoad notes an order that may yet load an adapter though it got no answer.
+func (c *Controller) noteLateLoad(o *sandbarrow.EngineOrder, err error) {
+	if !errors.Is(err, sandbarrow.ErrOrderUnknown) || !o.Load || o.Adapter == "" {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.late.sent(c.now(), o.Expected)
+}
+
 // giveOrders gives orders until none is due, and returns when to read the next
 // report.
 func (c *Controller) giveOrders(ctx context.Context, sequence uint64) time.Duration {
@@ -66,6 +80,7 @@
 		done, err := c.order(ctx, &o)
 		if err != nil {
 			c.logOrder(&o, "failed", err)
+			c.noteLateLoad(&o, err)
 			return c.afterFailedOrder(ctx, err)
 		}
 		c.logOrder(&o, "taken", nil)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -40,15 +40,17 @@
 	newest time.Time
 	// lapsed are upstreams that stay in use for lapseGrace though they left the list, with
 	// the revision at which they left; it tells one grace from the next.
-	lapsed  map[sandbarrow.InstanceID]sandbarrow.StoreRevision
-	entries map[sandbarrow.InstanceID]listed
+	lapsed  map[sandbarrow.ListedID]sandbarrow.StoreRevision
+	entries map[sandbarrow.ListedID]listed
+	// refused counts the entries that named no upstream.
+	refused uint64
 }
 
 // New returns an empty directory.
 func New(list sandbarrow.InstanceList, logger *slog.Logger) *Directory {
 	return &Directory{
-		entries: map[sandbarrow.InstanceID]listed{},
-		lapsed:  map[sandbarrow.InstanceID]sandbarrow.StoreRevision{},
+		entries: map[sandbarrow.ListedID]listed{},
+		lapsed:  map[sandbarrow.ListedID]sandbarrow.StoreRevision{},
 		list:    list,
 		logger:  logger,
 	}
@@ -121,16 +123,11 @@
 	d.at, d.confirmedAt = at, now
 }
 
-// apply keeps an entry that is newer than what is known, and reports whether it could be
-// read and whether it differs by more than a heartbeat; one that can't be read differs
-// from nothing. The caller holds mu.
-func (d *Directory) apply(it sandbarrow.KeyItem) (read, differs bool) {
-	instance, err := d.list.Instance(it)
-	if err != nil {
-		d.logger.Warn("upstream entry refused, the last one stays", "key", it.Key, "error", err.Error())
-		return false, false
-	}
-	old, known := d.entries[instance.ID]
+// apply keeps the entry of an instance that is newer than what is known, and reports whether
+// it differs by more than a heartbeat. The caller holds mu.
+func (d *Directory) apply(id sandbarrow.ListedID, it sandbarrow.KeyItem, instance sandbarrow.Instance) bool {
+	old, known := d.entries[id]
+	known = known && old.instance.ID.Is(instance.ID) // one that has started again is a new one
 	if !known {
 		d.newest = time.Now()
 	}
@@ -138,15 +135,22 @@
 		d.logger.Info("upstream listed", "upstream", string(instance.ID), "address", instance.Address,
 			"service", string(instance.Service), "leaving", instance.Draining, "revision", uint64(it.Revision))
 	}
-	_, returned := d.lapsed[instance.ID]
-	delete(d.lapsed, instance.ID)
-	d.entries[instance.ID] = listed{instance: instance, item: it}
-	return true, !known || returned || !sameButHeld(&old.instance, &instance)
+	_, returned := d.lapsed[id]
+	delete(d.lapsed, id)
+	d.entries[id] = listed{instance: instance, item: it}
+	return !known || returned || !sameButHeld(&old.instance, &instance)
+}
+
+// Refused is how many entries named no upstream, as they were malformed.
+func (d *Directory) Refused() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.refused
 }
 
 // sameButHeld reports whether two entries are the same but for the adapters held.
 func sameButHeld(a, b *sandbarrow.Instance) bool {
-	return a.Address == b.Address && a.FailureDomain == b.FailureDomain && a.Draining == b.Draining &&
+	return a.ID == b.ID && a.Address == b.Address && a.FailureDomain == b.FailureDomain && a.Draining == b.Draining &&
 		a.Service == b.Service && a.Slots == b.Slots
 }
 
--- a/directory/lapse.go
+++ b/directory/lapse.go
@@ -34,8 +34,8 @@
 
 // remove takes upstreams that left the list, each since a revision, out of use: at once
 // or, after a lapse, when lapseGrace is over. The caller holds mu.
-func (d *Directory) remove(left map[sandbarrow.InstanceID]sandbarrow.StoreRevision) {
-	maps.DeleteFunc(left, func(id sandbarrow.InstanceID, _ sandbarrow.StoreRevision) bool {
+func (d *Directory) remove(left map[sandbarrow.ListedID]sandbarrow.StoreRevision) {
+	maps.DeleteFunc(left, func(id sandbarrow.ListedID, _ sandbarrow.StoreRevision) bool {
 		_, known := d.entries[id]
 		_, lapsed := d.lapsed[id]
 		return !known || lapsed // the grace that runs decides
@@ -57,14 +57,14 @@
 
 // beginGrace keeps an upstream that left the list in use until lapseGrace is over. The
 // caller holds mu.
-func (d *Directory) beginGrace(id sandbarrow.InstanceID, at sandbarrow.StoreRevision) {
+func (d *Directory) beginGrace(id sandbarrow.ListedID, at sandbarrow.StoreRevision) {
 	d.lapsed[id] = at
 	time.AfterFunc(lapseGrace, func() { d.expire(id, at) })
 }
 
 // expire ends the grace of an upstream that has not listed itself again since it left at
 // a revision.
-func (d *Directory) expire(id sandbarrow.InstanceID, at sandbarrow.StoreRevision) {
+func (d *Directory) expire(id sandbarrow.ListedID, at sandbarrow.StoreRevision) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if left, lapsed := d.lapsed[id]; lapsed && left == at {
--- a/directory/merge.go
+++ b/directory/merge.go
@@ -25,13 +25,13 @@
 	m := merging{
 		Directory: d,
 		before:    d.at,
-		left:      map[sandbarrow.InstanceID]sandbarrow.StoreRevision{},
-		told:      map[sandbarrow.InstanceID]sandbarrow.KeyItem{},
+		left:      map[sandbarrow.ListedID]sandbarrow.StoreRevision{},
+		told:      map[sandbarrow.ListedID]sandbarrow.KeyItem{},
 	}
 	d.confirm(n.at)
 	for _, it := range slices.SortedFunc(slices.Values(n.items), byRevision) {
 		if m.mergeItem(it, n.whole) {
-			m.told[d.list.InstanceID(it.Key)] = it
+			m.told[d.list.ListedID(it.Key)] = it
 		}
 	}
 	if n.whole {
@@ -51,15 +51,15 @@
 	before sandbarrow.StoreRevision
 	// left holds the upstreams that leave with this merge, and since which revision; they
 	// are taken out together at its end, so that a lapse can be told from ends.
-	left map[sandbarrow.InstanceID]sandbarrow.StoreRevision
+	left map[sandbarrow.ListedID]sandbarrow.StoreRevision
 	// told is what other gateways need that are complete up to before.
-	told map[sandbarrow.InstanceID]sandbarrow.KeyItem
+	told map[sandbarrow.ListedID]sandbarrow.KeyItem
 }
 
 // known returns the revision from which an upstream is known: of its entry or, where it is
 // not listed, the one up to which the list is complete. So removals need not be kept: an
 // entry that is not held, and is not newer than the complete list, has been removed.
-func (m *merging) known(id sandbarrow.InstanceID) sandbarrow.StoreRevision {
+func (m *merging) known(id sandbarrow.ListedID) sandbarrow.StoreRevision {
 	if at, left := m.left[id]; left {
 		return at
 	}
@@ -72,7 +72,7 @@
 
 // mergeItem applies one item and reports whether other gateways need it.
 func (m *merging) mergeItem(it sandbarrow.KeyItem, whole bool) bool {
-	id := m.list.InstanceID(it.Key)
+	id := m.list.ListedID(it.Key)
 	lacked := it.Revision > m.before // by others that are complete as far as this one was
 	if it.Revision <= m.known(id) {
 		return lacked // pages of a whole read may have brought it ahead of its turn
@@ -84,17 +84,28 @@
 		m.leave(id, it.Revision, whole)
 		return lacked
 	}
-	_, returned := m.left[id]
-	listed, differs := m.apply(it)
-	if listed {
-		delete(m.left, id)
+	instance, err := m.list.Instance(it)
+	if err != nil {
+		m.refuse(id, it, err)
+		return lacked
 	}
+	_, returned := m.left[id]
+	delete(m.left, id)
+	differs := m.apply(id, it, instance)
 	return lacked && (differs || returned)
 }
 
+// refuse takes an upstream out of use whose newest entry names none, as it is malformed or
+// was written by something else: it gets nothing new until a good entry follows.
+func (m *merging) refuse(id sandbarrow.ListedID, it sandbarrow.KeyItem, why error) {
+	m.refused++
+	m.logger.Warn("upstream entry refused", "key", it.Key, "revision", uint64(it.Revision), "error", why.Error())
+	m.left[id] = it.Revision
+}
+
 // leave notes that an upstream left the list. A peer's whole list says so only of an
 // upstream whose grace runs at the peer, so that it has a grace here too.
-func (m *merging) leave(id sandbarrow.InstanceID, at sandbarrow.StoreRevision, whole bool) {
+func (m *merging) leave(id sandbarrow.ListedID, at sandbarrow.StoreRevision, whole bool) {
 	_, held := m.entries[id]
 	_, lapsed := m.lapsed[id]
 	if whole && held && !lapsed {
@@ -107,9 +118,9 @@
 // leaveAbsent notes which upstreams a whole list lacks, but for those that are known
 // from a newer revision.
 func (m *merging) leaveAbsent(n news) {
-	present := map[sandbarrow.InstanceID]bool{}
+	present := map[sandbarrow.ListedID]bool{}
 	for _, it := range n.items {
-		present[m.list.InstanceID(it.Key)] = true
+		present[m.list.ListedID(it.Key)] = true
 	}
 	for id := range m.entries {
 		if !present[id] && m.known(id) <= n.at {
--- a/enginecontrol.go
+++ b/enginecontrol.go
@@ -16,6 +16,8 @@
 	Models   []LoadedModel
 	// Sequence counts the orders that the engine accepted since its start.
 	Sequence uint64
+	// Started is when the engine started; 0 where it does not say.
+	Started UnixMillis
 }
 
 // LoadingAdapter is an adapter version that an engine is loading.
@@ -61,8 +63,9 @@
 // several goroutines. The errors of Identify and Report are ErrUpstreamUnknown where
 // no answer came, and ErrUpstreamBroken for a malformed one.
 type EngineControl interface {
-	// Identify asks which instance answers; path is the service's health check.
-	Identify(ctx context.Context, path string) (InstanceID, error)
+	// Identify asks which upstream answers; path is the service's health check. The report
+	// says which of its starts.
+	Identify(ctx context.Context, path string) (ListedID, error)
 	// Order gives an order. It returns true when the engine already is as ordered, and
 	// the errors above.
 	Order(ctx context.Context, o EngineOrder) (done bool, err error)
--- a/gateway/callerrequest.go
+++ b/gateway/callerrequest.go
@@ -212,7 +212,7 @@
 	names := &c.gateway.config.Headers
 	h := c.header.Clone()
 	h.Set(names.Deadline, strconv.FormatInt(max(1, time.Until(c.callerEnds).Milliseconds()), 10))
-	h.Set(names.ExpectInstance, string(in.ID))
+	h.Set(names.ExpectInstance, string(in.ID.Listed()))
 	if c.service.Engine != nil {
 		if c.chosen != nil && c.chosen.move.from() != "" {
 			h.Set(names.MoveFrom, c.chosen.move.from())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -124,6 +124,9 @@
 	}
 	g.engines = newEngines(g)
 	g.leads = newQuotaLeads(g)
+	c.Metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "sandbarrow_gateway_entries_refused_total", Help: "Entries in the list of upstreams that named none.",
+	}, func() float64 { return float64(g.directory.Refused()) }))
 	g.list = &listAnswer{directory: g.directory}
 	return g
 }
--- a/gateway/linkstate.go
+++ b/gateway/linkstate.go
@@ -22,6 +22,8 @@
 	// lastContact is when the link came up or the last status arrived.
 	lastContact time.Time
 	memory      recall.Memory
+	// instance is the last start of the engine that its controller has named.
+	instance sandbarrow.InstanceID
 	// rpc is nil while the link is down.
 	rpc    *jsonrpc2.Conn
 	status enginelink.Status
@@ -77,7 +79,7 @@
 	if !l.usableLocked(now) || l.status.EngineUnreachable || l.status.Weights(c.key) != v {
 		return 0
 	}
-	if l.status.Instance != "" && l.status.Instance != in.ID {
+	if l.status.Instance != "" && !l.status.Instance.Is(in.ID) {
 		return 0
 	}
 	return l.kept.Kept(v, c.stretches)
@@ -159,9 +161,13 @@
 	defer l.mu.Unlock()
 	before = l.status.Loads
 	s.Expand(&l.status)
-	if len(s.Models) == 0 {
+	started := s.Instance != "" && l.instance != "" && !s.Instance.Is(l.instance)
+	if len(s.Models) == 0 || started {
 		l.memory.Forget()
 	}
+	if s.Instance != "" {
+		l.instance = s.Instance
+	}
 	l.memory.Note(func(yield func(sandbarrow.AdapterKey, sandbarrow.AdapterVersion) bool) {
 		for i := range s.Slots {
 			if !yield(s.Slots[i].Key(), s.Slots[i].Version) {
--- a/instance.go
+++ b/instance.go
@@ -1,8 +1,49 @@
 package sandbarrow
 
-// InstanceID names one start of an upstream; a restart has another.
+import (
+	"strconv"
+	"strings"
+)
+
+// ListedID is the id under which an upstream lists itself. It may start again under it.
+type ListedID string
+
+// UnixMillis is a time of day in milliseconds since 1970; 0 means not known.
+type UnixMillis int64
+
+// InstanceID names one start of an upstream: its ListedID and when it started, where it
+// says so. All that is remembered of an upstream is remembered of an InstanceID, since one
+// that has started again holds and knows nothing of before.
 type InstanceID string
 
+// startSeparator stands between the parts of an InstanceID.
+const startSeparator = "@"
+
+// NewInstanceID names the start of an upstream at a time.
+func NewInstanceID(id ListedID, started UnixMillis) InstanceID {
+	if started == 0 {
+		return InstanceID(id)
+	}
+	return InstanceID(string(id) + startSeparator + strconv.FormatInt(int64(started), 10))
+}
+
+// Listed is the id under which the instance lists itself, by which others address it.
+func (i InstanceID) Listed() ListedID {
+	id, _, _ := strings.Cut(string(i), startSeparator)
+	return ListedID(id)
+}
+
+// Is reports whether two ids may name the same start: those that do, and those of the same
+// upstream where one does not say when it started.
+func (i InstanceID) Is(other InstanceID) bool {
+	if i == other {
+		return true
+	}
+	id, started, known := strings.Cut(string(i), startSeparator)
+	otherID, otherStarted, otherKnown := strings.Cut(string(other), startSeparator)
+	return id == otherID && (!known || !otherKnown || started == otherStarted)
+}
+
 // AdapterVersion numbers the versions of an adapter; 0 means not known.
 type AdapterVersion uint64
 
@@ -48,8 +89,8 @@
 type InstanceList interface {
 	// Instance reads one item; a removed or malformed item is an error.
 	Instance(item KeyItem) (Instance, error)
-	// InstanceID returns the instance that a key is about.
-	InstanceID(key string) InstanceID
+	// ListedID returns the upstream that a key is about.
+	ListedID(key string) ListedID
 	// Prefix is the prefix of the keys.
 	Prefix() string
 }
