--- a/gateway/trust.go
+++ b/gateway/trust.go
@@ -84,9 +84,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	if rpc := g.leads.confirmer(); rpc != nil && age < confirmAlone {
-		if err := enginelink.Fetch(ctx, rpc, g.estate); err != nil {
-			g.logger.Debug("configuration not confirmed by a controller", "error", err.Error())
+	if age < confirmAlone {
+		if rpc := g.leads.confirmer(); rpc != nil {
+			if err := enginelink.Fetch(ctx, rpc, g.estate); err != nil {
+				g.logger.Debug("configuration not confirmed by a controller", "error", err.Error())
+			}
 		}
 		return
 	}
