--- a/controller/controller.go
+++ b/controller/controller.go
@@ -108,6 +108,9 @@
 		},
 	}
 	if c.LeaseStore != nil {
+		c.Metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "sandbarrow_controller_quota_shards", Help: "Quota shards that this process leads.",
+		}, k.shardsLed))
 		k.leader = leader.New(leader.Config{Bound: c.Bound, Box: c.Box, Estate: e, Keys: c.Store, Logger: c.Logger, Store: c.LeaseStore})
 	}
 	k.watch.Covered = k.watchedByGateways
@@ -115,6 +118,12 @@
 	return k
 }
 
+// shardsLed is how many quota shards this process leads.
+func (c *Controller) shardsLed() float64 {
+	leads, _ := c.leader.Leads()
+	return float64(len(leads.Terms))
+}
+
 // watchedByGateways reports whether enough gateways are linked, which watch the
 // operators' state themselves and announce each change.
 func (c *Controller) watchedByGateways() bool {
--- a/explain/story.go
+++ b/explain/story.go
@@ -116,20 +116,24 @@
 
 // causes are the meanings of reasons.
 var causes = map[string]string{
-	"":                 "served, or answered with the upstream's own failure",
-	"bad-request":      "the request itself was malformed",
-	"broken":           "an upstream broke off, and the request could not go elsewhere",
-	"caller-left":      "the caller left before its answer was whole",
-	"deadline":         "the time of the caller or the route was over",
-	"no-configuration": "the gateway had no configuration or no list of upstreams yet",
-	"no-route":         "no route of the configuration in force matched",
-	"no-slot":          "no engine that was asked had a slot for the adapter in time",
-	"no-upstream":      "no upstream of the service was known, or none could be reached",
-	"overload":         "all engines would have been late, so it was refused at once",
-	"retry-budget":     "it may only go elsewhere within the budget for repeats, which was spent",
-	"stopping":         "the gateway was stopping and the stream might not have ended before",
-	"too-large":        "the request was larger than the operators allow",
-	"upstream-refused": "every upstream that was asked refused it as not run",
+	"":                    "served, or answered with the upstream's own failure",
+	"bad-request":         "the request itself was malformed",
+	"broken":              "an upstream broke off, and the request could not go elsewhere",
+	"caller-left":         "the caller left before its answer was whole",
+	"deadline":            "the time of the caller or the route was over",
+	"no-configuration":    "the gateway had no configuration or no list of upstreams yet",
+	"no-route":            "no route of the configuration in force matched",
+	"no-slot":             "no engine that was asked had a slot for the adapter in time",
+	"no-upstream":         "no upstream of the service was known, or none could be reached",
+	"overload":            "all engines would have been late, so it was refused at once",
+	"retry-budget":        "it may only go elsewhere within the budget for repeats, which was spent",
+	"stopping":            "the gateway was stopping and the stream might not have ended before",
+	"too-large":           "the request was larger than the operators allow",
+	"upstream-refused":    "every upstream that was asked refused it as not run",
+	"limit":               "its workspace had used up its limit: the leaders of both parts refused it",
+	"no-quota-leader":     "no leader of its workspace's limit answered in time: look for 'quota shard' lines and for the store",
+	"stale-configuration": "for too long nobody could tell that the configuration was the newest: a key might have been withdrawn",
+	"unknown-key":         "its key belongs to no workspace of the configuration in force",
 }
 
 func causeOf(own []Line) string {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -124,9 +124,14 @@
 	}
 	g.engines = newEngines(g)
 	g.leads = newQuotaLeads(g)
-	c.Metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
-		Name: "sandbarrow_gateway_entries_refused_total", Help: "Entries in the list of upstreams that named none.",
-	}, func() float64 { return float64(g.directory.Refused()) }))
+	c.Metrics.MustRegister(
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "sandbarrow_gateway_entries_refused_total", Help: "Entries in the list of upstreams that named none.",
+		}, func() float64 { return float64(g.directory.Refused()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "sandbarrow_gateway_configuration_confirmed_seconds", Help: "Time since the configuration in force was known to be the newest; -1 where it never was.",
+		}, g.confirmedSeconds),
+	)
 	g.list = &listAnswer{directory: g.directory}
 	return g
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -11,6 +11,7 @@
 type metrics struct {
 	first    *prometheus.HistogramVec
 	moves    *prometheus.CounterVec
+	quota    *prometheus.CounterVec
 	requests *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
 	sent     *prometheus.CounterVec
@@ -25,6 +26,9 @@
 		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sandbarrow_gateway_moves_total", Help: "Moves of prompt memory between engines that were chosen, by what came of them.",
 		}, []string{"outcome"}),
+		quota: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sandbarrow_gateway_quota_units_total", Help: "Units that requests count against their workspaces' limits, by what came of asking for them.",
+		}, []string{"workspace", "outcome"}),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sandbarrow_gateway_requests_total", Help: "Ended requests, by kind of route, status and reason.",
 		}, []string{"kind", "status", "reason"}),
@@ -35,7 +39,7 @@
 			Name: "sandbarrow_gateway_sent_total", Help: "Requests given to upstreams, by service and whether it was the first time.",
 		}, []string{"service", "first"}),
 	}
-	r.MustRegister(m.first, m.moves, m.requests, m.seconds, m.sent)
+	r.MustRegister(m.first, m.moves, m.quota, m.requests, m.seconds, m.sent)
 	return m
 }
 
@@ -43,6 +47,12 @@
 	m.first.WithLabelValues(string(c.service.ID)).Observe(took.Seconds())
 }
 
+// quotaAsked counts what a request asked for of its workspace's limit: granted, refused, or
+// leaderless.
+func (m *metrics) quotaAsked(c *call, outcome string) {
+	m.quota.WithLabelValues(string(c.workspace.ID), outcome).Add(float64(c.quota.units))
+}
+
 // moveSettled counts a move by what came of it.
 func (m *metrics) moveSettled(o moveOutcome) {
 	m.moves.WithLabelValues(string(o)).Inc()
--- a/gateway/takequota.go
+++ b/gateway/takequota.go
@@ -66,11 +66,14 @@
 		c.quota.waited = time.Since(began)
 		switch {
 		case found.granted:
+			c.gateway.metrics.quotaAsked(c, "granted")
 			return true
 		case found.refused == quota.Parts && !found.young, found.refused > 0 && !found.young && c.quota.waited > c.route.Objective/2:
+			c.gateway.metrics.quotaAsked(c, "refused")
 			c.refuseFor(http.StatusTooManyRequests, reasonLimit, max(found.again, leastQuotaRetry))
 			return false
 		case ctx.Err() != nil || !time.Now().Before(until):
+			c.gateway.metrics.quotaAsked(c, "leaderless")
 			c.giveUp(ctx, reasonNoLeader)
 			return false
 		}
--- a/gateway/trust.go
+++ b/gateway/trust.go
@@ -64,6 +64,16 @@
 	return []slog.Attr{slog.Int64("confirmed_ms", time.Since(confirmed).Milliseconds())}
 }
 
+// confirmedSeconds is how long ago the configuration was known to be the newest, in
+// seconds; -1 where it never was.
+func (g *Gateway) confirmedSeconds() float64 {
+	confirmed, _ := g.estate.Confirmed()
+	if confirmed.IsZero() {
+		return -1
+	}
+	return time.Since(confirmed).Seconds()
+}
+
 // confirmLoop keeps the configuration confirmed until ctx ends.
 func (g *Gateway) confirmLoop(ctx context.Context) error {
 	for ctx.Err() == nil {
