Let a workspace's priority go before its route's

Cause: the operators' document names a priority for each workspace, which nothing read. Change: priority.go decides it for all that orders requests: at the engine, at the controller's queues, in what is expected to wait ahead. TestPriorityOfTheWorkspace.

--- a/gateway/linkstate.go
+++ b/gateway/linkstate.go
@@ -59,7 +59,7 @@
 	defer l.mu.Unlock()
 	v := linkView{
 		linked: l.usableLocked(now), recallable: l.memory.Has(c.key, c.version), status: l.status,
-		waitingTokens: l.waitingTokensLocked(c.route.Priority),
+		waitingTokens: l.waitingTokensLocked(c.priority()),
 	}
 	v.weights = l.status.Weights(c.key)
 	// Most engines have not loaded the adapter and keep nothing for it. Asking them all takes
--- a/gateway/passanswer.go
+++ b/gateway/passanswer.go
@@ -90,7 +90,7 @@
 		return
 	}
 	e.link.report(enginelink.MethodBegun, sandbarrow.RequestID(c.id))
-	e.link.addTokens(c.route.Priority, -c.unread)
+	e.link.addTokens(c.priority(), -c.unread)
 	c.unread = 0
 }
 
--- a/gateway/priority.go
+++ b/gateway/priority.go
@@ -43,10 +43,19 @@
 	return urgencyNormal
 }
 
-// enginePriority is the priority at the engine: the route's comes first, then
+// priority decides how urgent a request is among all: as the operators say of its
+// workspace, where they do, else as they say of its route.
+func (c *call) priority() int {
+	if c.workspace != nil && c.workspace.Priority != nil {
+		return *c.workspace.Priority
+	}
+	return c.route.Priority
+}
+
+// enginePriority is the priority at the engine: the operators' comes first, then
 // what the request loses from waiting, so that an engine with more work than
 // time does not make all of it late.
 func (c *call) enginePriority() int {
-	p := max(0, c.route.Priority)*int(urgencies) + int(urgencyOf(c.useful(c.chosen), c.committed))
+	p := max(0, c.priority())*int(urgencies) + int(urgencyOf(c.useful(c.chosen), c.committed))
 	return min(lowestPriority, p)
 }
--- a/gateway/priority_test.go
+++ b/gateway/priority_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"sandbarrow.example/sandbarrow/access"
 	"sandbarrow.example/sandbarrow/route"
 )
 
@@ -31,3 +32,15 @@
 		assert.Equal(t, c.enginePriority(), tc.want, name)
 	}
 }
+
+// What the operators say of a workspace goes before what they say of its route.
+func TestPriorityOfTheWorkspace(t *testing.T) {
+	urgent := 0
+	c := &call{}
+	c.route = &route.Route{Priority: 2}
+	assert.Equal(t, c.priority(), 2)
+	c.workspace = &access.Workspace{ID: "red"}
+	assert.Equal(t, c.priority(), 2)
+	c.workspace.Priority = &urgent
+	assert.Equal(t, c.priority(), 0)
+}
--- a/gateway/progress.go
+++ b/gateway/progress.go
@@ -81,7 +81,7 @@
 			return
 		}
 		status, linked := e.link.lastStatus(time.Now())
-		if p.pause() > longestPause(p.begun.Load(), e.link.waitingTokens(c.route.Priority), statusSpeed(&status), linked && status.EngineUnreachable) {
+		if p.pause() > longestPause(p.begun.Load(), e.link.waitingTokens(c.priority()), statusSpeed(&status), linked && status.EngineUnreachable) {
 			cancel(errStalled)
 			return
 		}
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -124,7 +124,7 @@
 	wait := min(patience, time.Until(c.ends))
 	ask := &enginelink.Acquire{
 		Adapter: c.key.Adapter, ID: sandbarrow.RequestID(c.id), Instance: e.instance.ID, Model: c.key.Model,
-		MostWaiting: e.mostWaitingTokens(), Priority: c.route.Priority, Stretches: c.stretches, Tokens: c.tokens, Version: c.version, UsefulMS: c.useful(e).Milliseconds(),
+		MostWaiting: e.mostWaitingTokens(), Priority: c.priority(), Stretches: c.stretches, Tokens: c.tokens, Version: c.version, UsefulMS: c.useful(e).Milliseconds(),
 		WaitMS: max(1, wait.Milliseconds()),
 	}
 	if !e.linked {
@@ -135,9 +135,9 @@
 	}
 	began := time.Now()
 	unread := e.unread(c.tokens)
-	e.link.addTokens(c.route.Priority, unread)
+	e.link.addTokens(c.priority(), unread)
 	defer func() {
-		e.link.addTokens(c.route.Priority, -unread)
+		e.link.addTokens(c.priority(), -unread)
 		c.acquired += time.Since(began)
 	}()
 	g, ok := e.link.acquire(ctx, ask)
@@ -203,8 +203,8 @@
 	p := &progress{start: time.Now()}
 	if e.linked {
 		c.unread = e.unread(c.tokens)
-		e.link.addTokens(c.route.Priority, c.unread)
-		defer func() { e.link.addTokens(c.route.Priority, -c.unread) }()
+		e.link.addTokens(c.priority(), c.unread)
+		defer func() { e.link.addTokens(c.priority(), -c.unread) }()
 	}
 	go c.watchProgress(ctx, cancel, e, p)
 	c.gateway.health.begin(e.instance.ID)
