Name the scheme in a 401, and keep the shard that confirms in one place

Change: WWW-Authenticate in a refusal for the key (RFC 9110 asks for it); the constant of the shard whose leader confirms the table stood in two packages, it is quota.ConfirmShard now; a comment said that a nomination outlives a lease, which it no longer does. Result: tests of gateway, quota and access pass; no decision changed.

--- a/access/access.go
+++ b/access/access.go
@@ -12,8 +12,8 @@
 	"sandbarrow.example/sandbarrow"
 )
 
-// scheme is the authentication scheme of callers' keys (RFC 6750).
-const scheme = "Bearer"
+// Scheme is the authentication scheme of callers' keys (RFC 6750).
+const Scheme = "Bearer"
 
 // Workspace is one customer as the operators configure it.
 type Workspace struct {
@@ -65,7 +65,7 @@
 		return nil
 	}
 	given, key, ok := strings.Cut(authorization[0], " ")
-	if !ok || !strings.EqualFold(given, scheme) {
+	if !ok || !strings.EqualFold(given, Scheme) {
 		return nil
 	}
 	return k.byDigest[k.digest(strings.TrimLeft(key, " "))]
--- a/gateway/callend.go
+++ b/gateway/callend.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"sandbarrow.example/sandbarrow/access"
 	"sandbarrow.example/sandbarrow/forward"
 )
 
@@ -104,6 +105,9 @@
 	if c.id != "" {
 		h.Set(c.gateway.config.Headers.RequestID, c.id)
 	}
+	if status == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", access.Scheme)
+	}
 	contentType, body := refusalBody(status, why)
 	h.Set("Content-Type", contentType)
 	c.writer.WriteHeader(status)
--- a/gateway/quotaleads.go
+++ b/gateway/quotaleads.go
@@ -20,8 +20,9 @@
 	// leadPause is the pause between two looks whether a shard needs a leader; that often
 	// this gateway nominates one. Estimate, not measured.
 	leadPause = 100 * time.Millisecond
-	// nominateFor is how long one controller is nominated before the next one is: longer
-	// than the lease of a leader that was lost. Estimate, not measured.
+	// nominateFor is how long one controller is nominated before the next one is: many tries
+	// of one that reaches the store, while the lease of a lost leader runs out. Estimate,
+	// not measured.
 	nominateFor = 2 * time.Second
 	// settleFor is how long nominations wait at most for links that are still coming up after
 	// a start. Without it the first controller that is linked leads all shards, and its
@@ -36,8 +37,6 @@
 	// suspectFor is how long a leader that did not answer, or leads no more, is not asked.
 	// Estimate, not measured: it may have its lease back after the next renewal.
 	suspectFor = 150 * time.Millisecond
-	// confirmShard is the shard whose leader keeps the configuration confirmed.
-	confirmShard quota.Shard = 0
 )
 
 // quotaLeads follows which controllers lead the quota shards, and nominates one for a
@@ -112,7 +111,7 @@
 // confirmer returns the connection to the controller that keeps the configuration
 // confirmed, or nil.
 func (q *quotaLeads) confirmer() *jsonrpc2.Conn {
-	l, _ := q.leader(confirmShard)
+	l, _ := q.leader(quota.ConfirmShard)
 	if l == nil {
 		return nil
 	}
@@ -189,7 +188,7 @@
 		}
 	}
 	if q.gateway.config.RevokeBound > 0 {
-		needed[confirmShard] = true
+		needed[quota.ConfirmShard] = true
 	}
 	return needed
 }
--- a/quota/leader/candidate.go
+++ b/quota/leader/candidate.go
@@ -35,9 +35,6 @@
 	// nominationLife is how long a candidate tries after its last nomination. Gateways
 	// nominate several times a second while there is no leader.
 	nominationLife = 700 * time.Millisecond
-	// confirmShard is the shard whose leader keeps the operators' table confirmed, so that
-	// one process of all asks the store for it.
-	confirmShard quota.Shard = 0
 	// confirmPause is the pause between two confirmations: several within the time for
 	// which gateways may trust a table (5 s seen). Each is a call to the store.
 	confirmPause = 600 * time.Millisecond
@@ -146,7 +143,7 @@
 // confirm asks the store which table is the newest one, if this shard's leader does that
 // for all.
 func (c *candidate) confirm(ctx context.Context) {
-	if c.shard != confirmShard || time.Since(c.confirmedAt) < confirmPause {
+	if c.shard != quota.ConfirmShard || time.Since(c.confirmedAt) < confirmPause {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -36,6 +36,10 @@
 // more workspaces wait when a leader is lost. Estimate, not measured.
 const Shards Shard = 8
 
+// ConfirmShard is the shard whose leader also keeps the operators' table confirmed as the
+// newest, so that one process of all asks the store for that.
+const ConfirmShard Shard = 0
+
 // Parts is into how many parts a limit is split, each with a leader of its own: where one
 // is lost, the others go on. With one part a workspace had nothing for up to 2 s until
 // another process led, and then for as long again less than it had waited for: of 16
