--- a/gateway/takequota.go
+++ b/gateway/takequota.go
@@ -68,7 +68,8 @@
 		case found.granted:
 			c.gateway.metrics.quotaAsked(c, "granted")
 			return true
-		case found.refused == quota.Parts && !found.young, found.refused > 0 && !found.young && c.quota.waited > c.route.Objective/2:
+		case found.refused == quota.Parts && !found.young, found.refused > 0 && !found.young && c.quota.waited > c.route.Objective/2,
+			found.refused > 0 && !time.Now().Before(until):
 			c.gateway.metrics.quotaAsked(c, "refused")
 			c.refuseFor(http.StatusTooManyRequests, reasonLimit, max(found.again, leastQuotaRetry))
 			return false
