Test leaders of quota shards by themselves, also under the race detector

Change: tests alone: of two that are nominated one leads and the other takes over; one that nobody nominates gives up; grants for its own shards and known workspaces alone; what a killed predecessor on the same box led is led again at once; the confirming shard's leader keeps the table confirmed.

--- /dev/null
+++ b/quota/leader/leader_test.go
@@ -0,0 +1,172 @@
+package leader
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/access"
+	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/estate"
+	"sandbarrow.example/sandbarrow/internal/await"
+	"sandbarrow.example/sandbarrow/quota"
+	"sandbarrow.example/sandbarrow/route"
+	"sandbarrow.example/sandbarrow/store"
+)
+
+// documents reads tables whose text is the rate of the workspace "red".
+type documents struct{}
+
+func (documents) IsTable(key string) bool { return key == "op/table" }
+func (documents) Prefix() string          { return "op/" }
+func (documents) TableKey() string        { return "op/table" }
+func (documents) Table(text []byte) (*route.Table, error) {
+	var rate float64
+	if err := json.Unmarshal(text, &rate); err != nil {
+		return nil, route.ErrInvalid
+	}
+	table, err := route.NewTable(1, nil, nil, route.Limits{})
+	if err == nil {
+		limit := access.Limit{Burst: rate, PerSecond: rate, Unit: access.UnitRequests}
+		table.Keys = access.NewKeys([]access.Entry{{Keys: []string{"k"}, Workspace: access.Workspace{ID: "red", Limit: limit}}})
+	}
+	return table, err
+}
+
+func (documents) Version(sandbarrow.KeyItem) (sandbarrow.AdapterKey, sandbarrow.AdapterVersion, error) {
+	return sandbarrow.AdapterKey{}, 0, estate.ErrOtherKey
+}
+
+// start runs a leader on a box; stop ends it as a planned stop does, and waits.
+func start(t *testing.T, s *store.Memory, box sandbarrow.BoxID) (l *Leader, stop func()) {
+	t.Helper()
+	logger := slog.New(slog.DiscardHandler)
+	e := estate.New(documents{}, logger)
+	e.Update([]sandbarrow.KeyItem{{Key: "op/table", Revision: 1, Value: []byte("1000")}}, 1)
+	l = New(Config{Bound: quota.Bound{Overage: 0.1, Window: time.Second}, Box: box, Estate: e, Keys: s, Logger: logger, Store: s})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- l.Run(ctx) }()
+	return l, func() {
+		cancel()
+		assert.NilError(t, <-done)
+	}
+}
+
+func (l *Leader) leads(s quota.Shard) bool {
+	leads, _ := l.Leads()
+	for _, t := range leads.Terms {
+		if t.Shard == s {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Leader) nominateUntil(t *testing.T, s quota.Shard, ok func() bool) {
+	t.Helper()
+	await.Until(t, 8*time.Second, "a leader of shard "+strconv.Itoa(int(s)), func() bool {
+		l.Nominate(s)
+		return ok()
+	})
+}
+
+// Of two that are nominated one leads; when it stops, the other one does, with a higher term.
+func TestOneLeads(t *testing.T) {
+	s := store.NewMemory()
+	shard := quota.ShardsOf("red")[0]
+	first, stopFirst := start(t, s, "box-1")
+	second, stopSecond := start(t, s, "box-2")
+	defer stopSecond()
+	first.nominateUntil(t, shard, func() bool { return first.leads(shard) })
+	for end := time.Now().Add(400 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		second.Nominate(shard)
+		assert.Assert(t, !second.leads(shard))
+	}
+	before, _ := first.Leads()
+	stopFirst()
+	second.nominateUntil(t, shard, func() bool { return second.leads(shard) })
+	after, _ := second.Leads()
+	assert.Assert(t, after.Terms[0].Term > before.Terms[0].Term)
+}
+
+// One that nobody nominates any more gives up, and one that is not nominated never tries.
+func TestUnwantedCandidateGivesUp(t *testing.T) {
+	s := store.NewMemory()
+	holder, stopHolder := start(t, s, "box-1")
+	l, stop := start(t, s, "box-2")
+	defer stop()
+	holder.nominateUntil(t, 3, func() bool { return holder.leads(3) })
+	l.Nominate(3)
+	time.Sleep(nominationLife + 3*tryPause)
+	stopHolder()
+	time.Sleep(3 * tryPause)
+	assert.Assert(t, !l.leads(3))
+}
+
+// A leader grants for the shards that it leads, to the workspaces that it knows.
+func TestTake(t *testing.T) {
+	s := store.NewMemory()
+	shards := quota.ShardsOf("red")
+	l, stop := start(t, s, "box-1")
+	assert.Assert(t, l.Take(&enginelink.Take{Shard: shards[0], Units: 1, Workspace: "red"}).NotLeading)
+	l.nominateUntil(t, shards[0], func() bool {
+		return l.Take(&enginelink.Take{Shard: shards[0], Units: 1, Workspace: "red"}).Granted
+	})
+	for _, q := range []enginelink.Take{
+		{Shard: shards[1], Units: 1, Workspace: "red"}, {Shard: shards[0], Units: 1, Workspace: "green"}, {Shard: -1, Units: 1, Workspace: "red"}, {Shard: 99, Units: 1, Workspace: "red"},
+	} {
+		assert.Assert(t, l.Take(&q).NotLeading, "%+v", q)
+	}
+	refused := l.Take(&enginelink.Take{Shard: shards[0], Units: 1_000_000, Workspace: "red"})
+	assert.Assert(t, !refused.Granted && refused.RetryMS > 0 && refused.Young)
+	stop()
+	assert.Assert(t, l.Take(&enginelink.Take{Shard: shards[0], Units: 1, Workspace: "red"}).NotLeading, "it has given the lease back")
+}
+
+// A process that starts again on its box leads at once what its predecessor led when it was
+// killed, though nobody nominates it.
+func TestReclaim(t *testing.T) {
+	s := store.NewMemory()
+	killed, stop := start(t, s, "box-1")
+	killed.nominateUntil(t, 5, func() bool { return killed.leads(5) })
+	// A lease that nobody renews and nobody gives back, as of a process that was killed.
+	item, err := s.Get(t.Context(), key(5))
+	assert.NilError(t, err)
+	stop()
+	id, err := s.GrantLease(t.Context(), time.Minute)
+	assert.NilError(t, err)
+	value := append([]byte("box-1 "), []byte("gone "+string(id))...)
+	_, err = s.CompareAndSwap(t.Context(), key(5), 0, value, id)
+	assert.NilError(t, err)
+	other, stopOther := start(t, s, "box-2")
+	defer stopOther()
+	again, stopAgain := start(t, s, "box-1")
+	defer stopAgain()
+	await.Until(t, 8*time.Second, "the shard is led again", func() bool { return again.leads(5) })
+	assert.Assert(t, !other.leads(5))
+	leads, _ := again.Leads()
+	assert.Assert(t, uint64(leads.Terms[0].Term) > uint64(item.Revision))
+}
+
+// The leader of the confirming shard keeps the table confirmed, and others do not ask.
+func TestLeaderConfirms(t *testing.T) {
+	s := store.NewMemory()
+	_, err := s.Commit(t.Context(), sandbarrow.Transaction{Put: map[string][]byte{"op/table": []byte("50")}})
+	assert.NilError(t, err)
+	l, stop := start(t, s, "box-1")
+	defer stop()
+	l.nominateUntil(t, 1, func() bool { return l.leads(1) })
+	confirmed, _ := l.config.Estate.Confirmed()
+	assert.Assert(t, confirmed.IsZero())
+	l.nominateUntil(t, quota.ConfirmShard, func() bool {
+		confirmed, _ := l.config.Estate.Confirmed()
+		return !confirmed.IsZero()
+	})
+}
