--- a/gateway/promptmove_test.go
+++ b/gateway/promptmove_test.go
@@ -243,3 +243,23 @@
 		assert.Equal(t, got.Header.Get(testNames.MoveFrom), from)
 	}
 }
+
+// An engine that starts again under its id has nothing in its own memory, also where it comes
+// up with its base model before its controller has reported it without one.
+func TestAnotherStartHasNothingToRecall(t *testing.T) {
+	l := &controllerLink{}
+	status := func(in sandbarrow.InstanceID, adapter sandbarrow.AdapterID) enginelink.Status {
+		return enginelink.Status{
+			Instance: in, Models: []sandbarrow.BaseModelID{testModel},
+			Slots: []enginelink.SlotStatus{{Adapter: adapter, Model: testModel, State: enginelink.SlotLoaded, Version: 1}},
+		}
+	}
+	a := sandbarrow.AdapterKey{Adapter: "a", Model: testModel}
+	l.applyStatus(status("e@100", "a"))
+	l.applyStatus(status("e@100", "b"))
+	assert.Assert(t, l.memory.Has(a, 1))
+	l.applyStatus(status("", "b")) // not identified for a moment
+	assert.Assert(t, l.memory.Has(a, 1))
+	l.applyStatus(status("e@200", "b"))
+	assert.Assert(t, !l.memory.Has(a, 1))
+}
