Log from whom a configuration came, and how new the state is that knows no route

Cause: the hypotheses on late configurations can't be told apart by the logs: nothing says how long ago the store answered a gateway that refuses a route, up to which revision it counts as complete, or who has brought what is in force. Change: attribute from of 'configuration in force'; complete_to and store_answered_ms of requests without a route; waited_ms and lost_ms of 'store lost' and 'store regained'; gauges of the revision in force and of the time since the store answered. No rule of the system reads them. Ruled out: a line for each watch, some 60 a minute and gateway.

--- a/enginelink/estatesync.go
+++ b/enginelink/estatesync.go
@@ -67,7 +67,7 @@
 	if err := rpc.Call(ctx, MethodFetch, Mark{Revision: mine}, &got); err != nil {
 		return err
 	}
-	e.Update(got.Items, got.Mark)
+	e.Learn(got.Items, got.Mark)
 	if got.AgeMS != nil {
 		e.Confirm(asked.Add(-time.Duration(*got.AgeMS)*time.Millisecond), got.Table)
 	}
--- a/estate/estate.go
+++ b/estate/estate.go
@@ -72,8 +72,10 @@
 	// which many peers announce is fetched from one.
 	Fetching sync.Mutex
 
-	mu      sync.Mutex
-	changed chan struct{}
+	mu sync.Mutex
+	// answered is when the store last answered this process about this state.
+	answered time.Time
+	changed  chan struct{}
 	// confirmed is the latest time at which nothing newer than the view was known to exist.
 	confirmed time.Time
 	items     map[string]sandbarrow.KeyItem
@@ -116,15 +118,45 @@
 	return items, e.mark
 }
 
-// Replace applies the whole prefix.
+// Answered is when the store last answered this process about the operators' state, be it
+// that nothing has changed; zero where it never did.
+func (e *Estate) Answered() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.answered
+}
+
+// Learn applies changes that a peer has sent and the revision up to which they are complete.
+func (e *Estate) Learn(items []sandbarrow.KeyItem, at sandbarrow.StoreRevision) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.merge(fromPeer, items, at)
+}
+
+// Replace applies the whole prefix, as the store has it.
 func (e *Estate) Replace(items []sandbarrow.KeyItem, at sandbarrow.StoreRevision) {
 	e.Update(items, at)
 }
 
-// Update applies changes and the revision up to which they are complete.
+// Update applies changes that the store has sent and the revision up to which they are
+// complete.
 func (e *Estate) Update(items []sandbarrow.KeyItem, at sandbarrow.StoreRevision) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.answered = time.Now()
+	e.merge(fromStore, items, at)
+}
+
+// source says who has sent a change, for log lines.
+type source string
+
+const (
+	fromPeer  source = "peer"
+	fromStore source = "store"
+)
+
+// merge keeps what is newer than what is known. The caller holds mu.
+func (e *Estate) merge(from source, items []sandbarrow.KeyItem, at sandbarrow.StoreRevision) {
 	changed := false
 	for _, it := range items {
 		if it.Gone || it.Revision <= e.items[it.Key].Revision {
@@ -137,19 +169,19 @@
 	if !changed {
 		return
 	}
-	e.compile(items)
+	e.compile(from, items)
 	close(e.changed)
 	e.changed = make(chan struct{})
 }
 
 // compile puts new items in force, if there is a table. A malformed one keeps the last good
 // one. The caller holds mu.
-func (e *Estate) compile(items []sandbarrow.KeyItem) {
+func (e *Estate) compile(from source, items []sandbarrow.KeyItem) {
 	next := e.latest
 	next.versions = map[sandbarrow.AdapterKey]sandbarrow.AdapterVersion{}
 	maps.Copy(next.versions, e.latest.versions)
 	for _, it := range items {
-		e.apply(&next, it)
+		e.apply(&next, from, it)
 	}
 	e.latest = next
 	if next.Table != nil {
@@ -158,7 +190,7 @@
 }
 
 // apply puts one item in force: a named version where it is newer, or the table.
-func (e *Estate) apply(next *View, it sandbarrow.KeyItem) {
+func (e *Estate) apply(next *View, from source, it sandbarrow.KeyItem) {
 	key, version, err := e.documents.Version(it)
 	switch {
 	case err == nil:
@@ -180,7 +212,7 @@
 		return
 	}
 	next.Table, next.Revision, next.At = table, it.Revision, time.Now()
-	e.logger.Info("configuration in force", "version", table.Version, "revision", uint64(it.Revision))
+	e.logger.Info("configuration in force", "version", table.Version, "revision", uint64(it.Revision), "from", string(from))
 }
 
 // logNamed writes a line for a version that is in force now.
--- a/estate/estate_test.go
+++ b/estate/estate_test.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -135,3 +136,19 @@
 	e.Replace([]sandbarrow.KeyItem{named, table(2, "4")}, 2)
 	assert.Equal(t, e.View().Version(key), sandbarrow.AdapterVersion(2))
 }
+
+// The line of a configuration says who has brought it, and what the store has answered
+// counts as its answer, what a peer has sent does not.
+func TestWhoBroughtAConfiguration(t *testing.T) {
+	var lines strings.Builder
+	e := New(documents{}, slog.New(slog.NewTextHandler(&lines, nil)))
+	e.Learn([]sandbarrow.KeyItem{table(1, "4")}, 1)
+	assert.Assert(t, strings.Contains(lines.String(), "version=4 revision=1 from=peer"), lines.String())
+	assert.Assert(t, e.Answered().IsZero())
+	e.Update([]sandbarrow.KeyItem{table(2, "6")}, 2)
+	assert.Assert(t, strings.Contains(lines.String(), "version=6 revision=2 from=store"), lines.String())
+	answered := e.Answered()
+	assert.Assert(t, !answered.IsZero())
+	e.Update(nil, 3)
+	assert.Assert(t, !e.Answered().Before(answered))
+}
--- a/gateway/calllog.go
+++ b/gateway/calllog.go
@@ -55,6 +55,7 @@
 		attrs = append(attrs, slog.String("route", c.route.Name))
 	} else {
 		attrs = append(attrs, slog.String("host", clip(c.request.Host)), slog.String("path", clip(c.request.URL.Path)))
+		attrs = append(attrs, c.gateway.stateAttributes()...)
 	}
 	if c.service != nil && c.service.Engine != nil {
 		attrs = append(attrs, slog.String("adapter", string(c.key.Adapter)), slog.Uint64("version", uint64(c.version)),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -128,6 +128,12 @@
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "sandbarrow_gateway_entries_refused_total", Help: "Entries in the list of upstreams that named none.",
 		}, func() float64 { return float64(g.directory.Refused()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "sandbarrow_gateway_configuration_revision", Help: "The store's revision of the configuration in force; 0 before the first.",
+		}, g.revisionInForce),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "sandbarrow_gateway_store_answered_seconds", Help: "Time since the store last answered about the operators' state; -1 where it never did.",
+		}, g.answeredSeconds),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "sandbarrow_gateway_configuration_confirmed_seconds", Help: "Time since the configuration in force was known to be the newest; -1 where it never was.",
 		}, g.confirmedSeconds),
--- a/gateway/trust.go
+++ b/gateway/trust.go
@@ -64,6 +64,42 @@
 	return []slog.Attr{slog.Int64("confirmed_ms", time.Since(confirmed).Milliseconds())}
 }
 
+// stateAttributes describe how new the operators' state is by which a request had no route:
+// up to which revision it is complete, and for how long the store has answered nothing.
+func (g *Gateway) stateAttributes() []slog.Attr {
+	complete, _ := g.estate.Mark()
+	return []slog.Attr{
+		slog.Uint64("complete_to", uint64(complete)), slog.Int64("store_answered_ms", sinceMS(g.estate.Answered())),
+	}
+}
+
+// answeredSeconds is how long ago the store last answered about the operators' state, in
+// seconds; -1 where it never did.
+func (g *Gateway) answeredSeconds() float64 {
+	answered := g.estate.Answered()
+	if answered.IsZero() {
+		return -1
+	}
+	return time.Since(answered).Seconds()
+}
+
+// sinceMS is how long ago a time was, in milliseconds; -1 for the zero time.
+func sinceMS(t time.Time) int64 {
+	if t.IsZero() {
+		return -1
+	}
+	return time.Since(t).Milliseconds()
+}
+
+// revisionInForce is the store's revision of the configuration in force, 0 before the first.
+func (g *Gateway) revisionInForce() float64 {
+	view := g.estate.View()
+	if view == nil {
+		return 0
+	}
+	return float64(view.Revision)
+}
+
 // confirmedSeconds is how long ago the configuration was known to be the newest, in
 // seconds; -1 where it never was.
 func (g *Gateway) confirmedSeconds() float64 {
--- a/prefixwatch/prefixwatch.go
+++ b/prefixwatch/prefixwatch.go
@@ -80,6 +80,7 @@
 func (w *Watch) Run(ctx context.Context) error {
 	var at sandbarrow.StoreRevision
 	known, up := false, true
+	var lost time.Time // when the first call of those began that failed
 	backoff := firstPause
 	for ctx.Err() == nil {
 		if w.Covered != nil && w.Covered() {
@@ -92,7 +93,7 @@
 		switch {
 		case err == nil:
 			if !up {
-				w.Logger.Info("store regained", "prefix", w.Prefix, "revision", uint64(next))
+				w.Logger.Info("store regained", "prefix", w.Prefix, "revision", uint64(next), "lost_ms", time.Since(lost).Milliseconds())
 			}
 			at, known, up, backoff = next, true, true, firstPause
 			w.waitForPace(ctx, began)
@@ -102,7 +103,8 @@
 				known = false
 			}
 			if up {
-				w.Logger.Warn("store lost", "prefix", w.Prefix, "revision", uint64(at), "error", err.Error())
+				lost = began
+				w.Logger.Warn("store lost", "prefix", w.Prefix, "revision", uint64(at), "waited_ms", time.Since(began).Milliseconds(), "error", err.Error())
 			}
 			up = false
 			pause.For(ctx, backoff/2+rand.N(backoff))
