--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,9 +39,6 @@
 )
 
 const (
-	// estateWait is the longest wait of one watch of the operators' state. Estimate,
-	// not measured: each call has its price, and a lost one is noticed after it.
-	estateWait = 3 * time.Second
 	// startTime is how long after a start upstreams may not be listed yet: longer than an
 	// upstream needs to list itself again after a loss of all power.
 	startTime = 4 * time.Second
@@ -157,7 +154,7 @@
 	}
 	var group errgroup.Group
 	estateWatch := prefixwatch.Watch{
-		Confirmed: g.estate.ConfirmAll, Consumer: g.estate, Logger: g.logger, Prefix: g.config.Documents.Prefix(), Sharing: g.engines.gateways, Store: g.config.Store, Wait: estateWait,
+		Confirmed: g.estate.ConfirmAll, Consumer: g.estate, Logger: g.logger, Prefix: g.config.Documents.Prefix(), Sharing: g.engines.gateways, Store: g.config.Store, Wait: prefixwatch.DefaultWait,
 	}
 	group.Go(func() error { return estateWatch.Run(work) })
 	group.Go(func() error { return g.listWatch().Run(work) })
--- a/gateway/listwatch.go
+++ b/gateway/listwatch.go
@@ -11,16 +11,11 @@
 	"sandbarrow.example/sandbarrow/prefixwatch"
 )
 
-const (
-	// listWait bounds one watch of the list of upstreams, whose heartbeats change it
-	// all the time. Estimate, not measured.
-	listWait = 3 * time.Second
-	// listShare is the part of the bound for draining upstreams (setting leave_bound) after
-	// which the list is read again. What another gateway has read may be as old when it
-	// arrives: twice this part stays within the bound. Were each gateway to read the list itself,
-	// that would be a third of all calls to the store.
-	listShare = 0.4
-)
+// listShare is the part of the bound for draining upstreams (setting leave_bound) after
+// which the list is read again. What another gateway has read may be as old when it
+// arrives: twice this part stays within the bound. Were each gateway to read the list itself,
+// that would be a third of all calls to the store.
+const listShare = 0.4
 
 // listWatch is the watch of the list of upstreams. The gateways share it: each
 // sends the others what it has read, through one of the controllers, and reads
@@ -28,7 +23,7 @@
 func (g *Gateway) listWatch() *prefixwatch.Watch {
 	return &prefixwatch.Watch{
 		Age: g.directory.Age, Consumer: sharedList{g}, Expecting: g.awaitsUpstreams, Logger: g.logger, Mark: g.directory.Mark,
-		Pace: time.Duration(listShare * float64(g.config.LeaveBound)), Prefix: g.config.Instances.Prefix(), Sharing: g.engines.gateways, Store: g.config.Store, Wait: listWait,
+		Pace: time.Duration(listShare * float64(g.config.LeaveBound)), Prefix: g.config.Instances.Prefix(), Sharing: g.engines.gateways, Store: g.config.Store, Wait: prefixwatch.DefaultWait,
 	}
 }
 
--- a/prefixwatch/prefixwatch.go
+++ b/prefixwatch/prefixwatch.go
@@ -16,6 +16,10 @@
 	"sandbarrow.example/sandbarrow/internal/pause"
 )
 
+// DefaultWait is the longest wait of one watch of a process alone. Estimate, not measured:
+// each call has its price, and a lost one is noticed after it.
+const DefaultWait = 3 * time.Second
+
 const (
 	// slack is how much longer than its wait a watch may take. Estimate, not measured.
 	slack = 1500 * time.Millisecond
