--- a/prefixwatch/prefixwatch.go
+++ b/prefixwatch/prefixwatch.go
@@ -20,8 +20,9 @@
 // has gone silent, without a reset, hides all changes until it is given up, after the wait
 // and mostSlack: that must be over well within the 3 s after which a process is held to the
 // bound for a change again. With a wait of 3 s and a slack of 1.5 s, changes soon after a
-// silence were in force 3.8 s late (TestSilentWatchIsGivenUpInTime, TestRouteSoak). Four
-// processes make 3.3 calls a second in place of 1.3 where nothing changes.
+// silence were in force 3.8 s after their acknowledgement, beyond the bound of 2 s
+// (TestSilentWatchIsGivenUpInTime, TestRouteSoak). Four processes make some 160 calls to the
+// store more in 60 s for that, 0.001 to 0.002 of worth (pairs of days before and after).
 const DefaultWait = 1200 * time.Millisecond
 
 const (
@@ -205,6 +206,5 @@
 	if w.Busy {
 		processes = 1
 	}
-	least, most := sharedWait(w.Wait, processes)
-	return least + rand.N(most-least+1)
+	return drawWait(w.Wait, processes)
 }
--- a/prefixwatch/sharedpace_test.go
+++ b/prefixwatch/sharedpace_test.go
@@ -7,6 +7,26 @@
 	"gotest.tools/v3/assert"
 )
 
+// However many processes draw their waits, all together make some ten calls a second, and
+// of many that began together some end soon.
+func TestDrawnWaits(t *testing.T) {
+	const draws = 20_000
+	for _, processes := range []int{10, 13, 40, 100} {
+		sum, soon := time.Duration(0), 0
+		for range draws {
+			wait := drawWait(DefaultWait, processes)
+			sum += wait
+			if wait <= 2*sharedWatchPace {
+				soon++
+			}
+		}
+		pace := sum / draws / time.Duration(processes)
+		assert.Assert(t, pace > 70*time.Millisecond, "%d: a call each %v", processes, pace)
+		expected := float64(soon) / draws * float64(processes)
+		assert.Assert(t, processes <= 10 || expected > soonProcesses*0.9, "%d: %v end soon", processes, expected)
+	}
+}
+
 // A few processes keep their own times, and up to ten hear each change in time by
 // themselves, also where a watch was lost; a hundred make not much more calls together than
 // ten, and never wait without bound.
--- a/prefixwatch/silent_test.go
+++ b/prefixwatch/silent_test.go
@@ -169,5 +169,6 @@
 	ended := time.Now()
 	s.put(t, "3")
 	eventually(t, func() bool { return known("3") > 0 })
+	t.Logf("the first of %d knew the change after %v", processes, time.Since(ended))
 	assert.Assert(t, time.Since(ended) < heardSoon, "the first process knew the change after %v", time.Since(ended))
 }
