--- a/prefixwatch/sharedpace.go
+++ b/prefixwatch/sharedpace.go
@@ -11,17 +11,20 @@
 // never ends, another one's next call brings.
 
 const (
-	// sharedWatchPace is how often one of the processes ends a watch and begins the next,
-	// so that a change is seen though all open connections have gone silent. Ten processes
-	// still wait for 2 s at most, so that each of them hears a change in time by itself.
-	sharedWatchPace = 200 * time.Millisecond
-	// mostAlone is the longest wait after which each process still hears a change in time by
-	// itself, as sharedWatchPace gives it to ten.
-	mostAlone = 2 * time.Second
-	// soonProcesses is how many of those that wait longer draw a short wait, on average. With
-	// five the first of 60 heard a change after 0.50 to 0.54 s, with none after 0.6 to 1.2 s
+	// sharedWatchPace is how often one of many processes ends a watch and begins the next, so
+	// that a change is seen though all open connections have gone silent. Estimate, not
+	// measured: several times within the bound for a change (3 to 5 s seen).
+	sharedWatchPace = 500 * time.Millisecond
+	// fewWatchPace is the same of a few processes, each of which hears a change in time by
+	// itself: up to ten, which wait for mostAlone at most.
+	fewWatchPace = 200 * time.Millisecond
+	mostAlone    = 2 * time.Second
+	// soonProcesses is how many of those that wait longer draw a short wait, on average, and
+	// shortWait is the least of them. With five the first of 60 heard a change after 0.50 to
+	// 0.60 s, with none after 0.6 to 1.2 s though all waited for less than half as long
 	// (TestOneOfManyHearsSoon, five runs each).
 	soonProcesses = 5
+	shortWait     = 200 * time.Millisecond
 	// sharedRetryPace is how often one of the processes tries whether a failed store is
 	// back. Estimate, not measured: below the first pause of a process alone.
 	sharedRetryPace = 30 * time.Millisecond
@@ -31,16 +34,16 @@
 	mostPause = 3 * time.Second
 )
 
-// sharedWait returns how long a watch waits at least and at most: a few processes wait for
-// wait, each of them. Where there are more, and some wait for longer, the wait is drawn at
-// random from a short one on: a change ends the watches of all at one moment, and were
-// none to end soon after the next ones begin, all would be deaf together.
+// sharedWait returns how long a watch waits at least and at most. A few processes wait for
+// wait or a bit longer, each of them. Where there are more, they wait for longer, and the wait
+// is drawn at random from a short one on: a change ends the watches of all at one moment, and
+// were none to end soon after the next ones begin, all would be deaf together.
 func sharedWait(wait time.Duration, processes int) (least, most time.Duration) {
-	most = min(mostWait, time.Duration(processes)*sharedWatchPace)
-	if most <= wait {
-		return wait, wait
+	few := time.Duration(processes) * fewWatchPace
+	if few <= mostAlone {
+		return wait, max(wait, few)
 	}
-	return min(wait, sharedWatchPace), most
+	return min(wait, shortWait), max(wait, min(mostWait, time.Duration(processes)*sharedWatchPace))
 }
 
 // drawWait draws how long the next watch of one of so many processes waits. Where they wait
