--- a/prefixwatch/sharedpace.go
+++ b/prefixwatch/sharedpace.go
@@ -16,9 +16,10 @@
 	// measured: several times within the bound for a change (3 to 5 s seen).
 	sharedWatchPace = 500 * time.Millisecond
 	// fewWatchPace is the same of a few processes, each of which hears a change in time by
-	// itself: up to ten, which wait for mostAlone at most.
-	fewWatchPace = 200 * time.Millisecond
-	mostAlone    = 2 * time.Second
+	// itself: up to ten, which wait for mostAlone at most, so that also with mostSlack a
+	// watch is given up 0.5 s before a process is held to the bound again.
+	fewWatchPace = 150 * time.Millisecond
+	mostAlone    = 1500 * time.Millisecond
 	// soonProcesses is how many of those that wait longer draw a short wait, on average, and
 	// shortWait is the least of them. With five the first of 60 heard a change after 0.50 to
 	// 0.60 s, with none after 0.6 to 1.2 s though all waited for less than half as long
--- a/prefixwatch/silent_test.go
+++ b/prefixwatch/silent_test.go
@@ -122,6 +122,7 @@
 		"one of ten, an answer lost":     {10, 0, false},
 		"one of four, a short silence":   {4, 2 * time.Second, false},
 		"one of four, a longer silence":  {4, 8 * time.Second, false},
+		"one of ten, a longer silence":   {10, 8 * time.Second, false},
 		"one of a hundred, all changing": {100, 0, true},
 	} {
 		t.Run(name, func(t *testing.T) {
