Refuse a request under which upstreams end, at every gateway, and share what is known of it

Cause: each try of a caller was judged by itself. A broken attempt counted as one that may have run, the retry budget bounds what gateways send again and not what callers repeat, and a repeat comes under another id at another gateway. Class: what is learnt from a failure is kept with the attempt, and lost with it. Change: package crash keeps, by the fingerprint of the content, under which requests upstreams have ended. A request is refused (503, ends-upstreams, when it is forgotten as Retry-After) after three ends, up to five in storms of other crashes; ends shared with another suspect need more, and one answer clears it. Gateways tell each other through two controllers, which keep it for those that start, through the store, and without both through their peers. Bounded to 512 requests, no bodies, forgotten after 10 min. Ruled out: refusing at the third end alone (innocent requests in storms were refused); a share of ends that counts those under the request itself (five ends in place of three to four).

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -26,6 +26,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/crash"
 	"sandbarrow.example/sandbarrow/enginelink"
 	"sandbarrow.example/sandbarrow/estate"
 	"sandbarrow.example/sandbarrow/evict"
@@ -64,6 +65,9 @@
 type Controller struct {
 	box     sandbarrow.BoxID
 	control sandbarrow.EngineControl
+	// crashes is what gateways have told of requests under which upstreams end, kept for
+	// those that start.
+	crashes *crash.Log
 	engine  string
 	estate  *estate.Estate
 	// leader is nil where no shards are led.
@@ -100,7 +104,7 @@
 func New(c Config) *Controller {
 	e := estate.New(c.Documents, c.Logger)
 	k := &Controller{
-		box: c.Box, control: c.Control, engine: c.Engine, estate: e, links: map[*link]bool{}, orphans: map[sandbarrow.RequestID]*pin{}, logger: c.Logger,
+		box: c.Box, control: c.Control, crashes: crash.NewLog(time.Now), engine: c.Engine, estate: e, links: map[*link]bool{}, orphans: map[sandbarrow.RequestID]*pin{}, logger: c.Logger,
 		metrics: newMetrics(c.Metrics), now: time.Now, published: newPublisher(), service: c.Service, slots: newSlots(evict.NewCost()), store: c.Store,
 		wake: make(chan struct{}, 1),
 		watch: prefixwatch.Watch{
--- a/controller/gatewaylink.go
+++ b/controller/gatewaylink.go
@@ -5,14 +5,20 @@
 	"encoding/json"
 	"net"
 	"slices"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/internal/pause"
 	"sandbarrow.example/sandbarrow/wire"
 )
 
+// crashPause is the pause after what was told of requests under which upstreams end, so that
+// what one crash brings goes in one message. Estimate, not measured.
+const crashPause = 20 * time.Millisecond
+
 // relayedMost is how many messages of other gateways wait for a slow link. Estimate,
 // not measured: a gateway that misses one reads the list itself.
 const relayedMost = 4
@@ -67,6 +73,7 @@
 	c.mu.Unlock()
 	go enginelink.AnnounceMarks(ctx, l.rpc, c.estate)
 	go l.sendStatuses(ctx)
+	go l.tellCrashes(ctx)
 	if c.leader != nil {
 		go l.announceLeads(ctx)
 	}
@@ -99,6 +106,13 @@
 		a := l.keepCall(q.ID)
 		go func() { _ = l.rpc.Reply(context.Background(), r.ID, l.acquire(&q, a)) }() // a gateway that left needs no reply
 		return nil, wire.ErrLater
+	case enginelink.MethodCrashes:
+		var m enginelink.Crashes
+		if err := wire.Decode(r, &m); err != nil {
+			return nil, err
+		}
+		c.crashes.Merge(l, m.Records)
+		return nil, nil
 	case enginelink.MethodFetch:
 		return enginelink.ServeFetch(l.rpc, r, c.estate)
 	case enginelink.MethodHello:
@@ -171,6 +185,27 @@
 	c.slots.reading.speed.Adopt(h.Speed)
 }
 
+// tellCrashes tells the gateway what the others have told of requests under which upstreams
+// end: all of it at first, then what changes.
+func (l *link) tellCrashes(ctx context.Context) {
+	told := uint64(0)
+	for ctx.Err() == nil {
+		changed := l.controller.crashes.Changed()
+		records, next := l.controller.crashes.Since(told, l)
+		if len(records) > 0 {
+			if err := l.rpc.Notify(ctx, enginelink.MethodCrashes, enginelink.Crashes{Records: records}); err != nil {
+				return
+			}
+		}
+		told = next
+		pause.For(ctx, crashPause)
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // announceLeads sends which quota shards this process leads, whenever that changes.
 func (l *link) announceLeads(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/enginelink/messages.go
+++ b/enginelink/messages.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/crash"
 	"sandbarrow.example/sandbarrow/promptcache"
 	"sandbarrow.example/sandbarrow/quota"
 	"sandbarrow.example/sandbarrow/readspeed"
@@ -22,6 +23,9 @@
 	// MethodBegun reports that a request's answer has begun, so that its prompt no
 	// longer waits.
 	MethodBegun = "engine.begun"
+	// MethodCrashes tells under which requests upstreams have ended; a call between gateways,
+	// whose result is what the other side knows.
+	MethodCrashes = "crash.records"
 	// MethodDone ends a pin.
 	MethodDone = "engine.done"
 	// MethodFetch reads what changed of the operators' state; a call.
@@ -113,6 +117,11 @@
 	Token sandbarrow.FencingToken `json:"token"`
 }
 
+// Crashes are requests under which upstreams have ended.
+type Crashes struct {
+	Records []crash.Record `json:"records"`
+}
+
 // Lead asks a controller to lead a quota shard.
 type Lead struct {
 	Shard quota.Shard `json:"shard"`
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/crash"
 	"sandbarrow.example/sandbarrow/estate"
 	"sandbarrow.example/sandbarrow/internal/pause"
 	"sandbarrow.example/sandbarrow/route"
@@ -20,7 +21,10 @@
 	writer  http.ResponseWriter
 	callerRequest
 	attempts
-	quota quotaAsk
+	// judged is what was known of upstreams that ended under the request, when that was
+	// asked last.
+	judged crash.Verdict
+	quota  quotaAsk
 	streamState
 }
 
@@ -66,7 +70,7 @@
 	if _, stopping := g.stopped(); stopping || g.engines.isolated() {
 		w.Header().Set("Connection", "close")
 	}
-	if !c.findRoute() || !c.authenticate() || !c.prepare() || !c.admit() {
+	if !c.findRoute() || !c.authenticate() || !c.prepare() || !c.admit() || !c.admitContent() {
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.ends)
--- a/gateway/callend.go
+++ b/gateway/callend.go
@@ -26,19 +26,21 @@
 	reasonBroken     reason = "broken"
 	reasonBudget     reason = "retry-budget"
 	reasonDeadline   reason = "deadline"
-	reasonLeft       reason = "caller-left"
-	reasonLimit      reason = "limit"
-	reasonNoConfig   reason = "no-configuration"
-	reasonNoLeader   reason = "no-quota-leader"
-	reasonNoRoute    reason = "no-route"
-	reasonOverload   reason = "overload"
-	reasonNoUpstream reason = "no-upstream"
-	reasonRefused    reason = "upstream-refused"
-	reasonSlots      reason = "no-slot"
-	reasonStale      reason = "stale-configuration"
-	reasonStopping   reason = "stopping"
-	reasonTooLarge   reason = "too-large"
-	reasonUnknownKey reason = "unknown-key"
+	// reasonEndsUpstreams is a request under which upstreams have ended.
+	reasonEndsUpstreams reason = "ends-upstreams"
+	reasonLeft          reason = "caller-left"
+	reasonLimit         reason = "limit"
+	reasonNoConfig      reason = "no-configuration"
+	reasonNoLeader      reason = "no-quota-leader"
+	reasonNoRoute       reason = "no-route"
+	reasonOverload      reason = "overload"
+	reasonNoUpstream    reason = "no-upstream"
+	reasonRefused       reason = "upstream-refused"
+	reasonSlots         reason = "no-slot"
+	reasonStale         reason = "stale-configuration"
+	reasonStopping      reason = "stopping"
+	reasonTooLarge      reason = "too-large"
+	reasonUnknownKey    reason = "unknown-key"
 )
 
 // wholeAnswer is an answer that has been read to its end.
@@ -81,6 +83,7 @@
 
 // pass gives a complete answer to the caller.
 func (c *call) pass(got *wholeAnswer) {
+	c.answeredBy(got.answer)
 	c.copyHead(got.answer)
 	if c.request.Method != http.MethodHead {
 		c.writer.Header().Set("Content-Length", strconv.Itoa(len(got.body)))
--- a/gateway/callerrequest.go
+++ b/gateway/callerrequest.go
@@ -41,8 +41,8 @@
 	// header holds the headers that go on to the upstream.
 	header http.Header
 	id     string
-	// print is the fingerprint, once it was needed.
-	print   *crash.Fingerprint
+	// digest is the fingerprint, once it was needed.
+	digest  *crash.Fingerprint
 	route   *route.Route
 	service *route.Service
 	// view is the configuration under which the request is served.
--- a/gateway/calllog.go
+++ b/gateway/calllog.go
@@ -19,8 +19,8 @@
 		slog.String("request", c.id), slog.String("upstream", string(id)), slog.String("result", result), slog.String("cause", cause),
 		slog.Int64("after_ms", time.Since(c.began).Milliseconds()), slog.Int("sent", c.sent), slog.Int("events", c.events),
 	}
-	if c.print != nil {
-		attrs = append(attrs, slog.String("fingerprint", c.print.String()))
+	if c.digest != nil {
+		attrs = append(attrs, slog.String("fingerprint", c.digest.String()))
 	}
 	attrs = append(attrs, e.attributes()...)
 	c.gateway.logger.LogAttrs(context.Background(), slog.LevelInfo, "attempt", attrs...)
@@ -50,6 +50,7 @@
 		attrs = append(attrs, slog.String("workspace", string(c.workspace.ID)))
 		attrs = append(attrs, c.quota.attributes()...)
 	}
+	attrs = append(attrs, c.crashAttributes()...)
 	if c.view != nil {
 		attrs = append(attrs, slog.Uint64("config", c.view.Table.Version), slog.Int64("config_age_ms", time.Since(c.view.At).Milliseconds()))
 		attrs = append(attrs, c.gateway.trustAttributes()...)
--- a/gateway/controllerlink.go
+++ b/gateway/controllerlink.go
@@ -135,6 +135,13 @@
 		}
 		l.applyKept(&k)
 		return nil, nil
+	case enginelink.MethodCrashes:
+		var m enginelink.Crashes
+		if err := wire.Decode(r, &m); err != nil {
+			return nil, err
+		}
+		l.gateway.crashes.Merge(l, m.Records)
+		return nil, nil
 	case enginelink.MethodListed:
 		var change directory.Change
 		if err := wire.Decode(r, &change); err != nil {
--- /dev/null
+++ b/gateway/crashsync_test.go
@@ -0,0 +1,160 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+
+	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/crash"
+	"sandbarrow.example/sandbarrow/route"
+	"sandbarrow.example/sandbarrow/store"
+)
+
+var fatalPrint = crash.NewFingerprint([]byte("fatal"))
+
+// noteFatal notes so many ends of upstreams under one request at a gateway.
+func noteFatal(g *Gateway, ends int) {
+	for i := range ends {
+		g.crashes.Note(sandbarrow.InstanceID(fmt.Sprint("u", i)), time.Now(), fatalPrint)
+	}
+}
+
+func (f *fleet) addGateway(t *testing.T, ctx context.Context, change func(*Config)) *Gateway {
+	t.Helper()
+	config := f.gateway.config
+	config.Metrics, config.Box = prometheus.NewRegistry(), "another"
+	change(&config)
+	g := New(config)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = g.Run(ctx, listener)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return g
+}
+
+// What one gateway knows reaches the others through controllers, which keep it for those
+// that start when all gateways that knew it are gone and the store is down.
+func TestCrashesReachGatewaysThroughControllers(t *testing.T) {
+	f := newFleet(t, 3, 0)
+	f.configure(t, streamRoute(true))
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	first := f.addGateway(t, ctx, func(*Config) {})
+	eventually(t, func() bool { return len(first.engines.upLinks(time.Now())) == 3 })
+	noteFatal(first, 3)
+	began := time.Now()
+	eventually(t, func() bool { return f.gateway.crashes.Judge(fatalPrint).Refused })
+	assert.Assert(t, time.Since(began) < time.Second)
+	stop()
+	peers, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = f.gateway.ServePeers(t.Context(), peers) }()
+	later := f.addGateway(t, t.Context(), func(c *Config) { c.Store, c.Peers = downStore{}, []string{peers.Addr().String()} })
+	eventually(t, func() bool { return later.crashes.Judge(fatalPrint).Refused })
+	told := false
+	for _, l := range later.engines.upLinks(time.Now()) {
+		records, _ := later.crashes.Since(0, l)
+		told = told || len(records) == 0
+	}
+	assert.Assert(t, told, "by a controller")
+}
+
+// Without controllers they learn it from the store, also those that start later; what is
+// kept there is removed once it is forgotten.
+func TestCrashesReachGatewaysThroughTheStore(t *testing.T) {
+	kept := store.NewMemory()
+	lone := func(box string) *Gateway {
+		g := New(Config{
+			Box: sandbarrow.BoxID(box), Documents: testDocuments{}, Headers: testNames, Instances: testInstances{}, Logger: slog.New(slog.DiscardHandler),
+			Metrics: prometheus.NewRegistry(), Store: kept,
+		})
+		go func() { _ = newCrashKeeper(g).run(t.Context()) }()
+		return g
+	}
+	a, b := lone("a"), lone("b")
+	noteFatal(a, 2)
+	eventually(t, func() bool { return b.crashes.Judge(fatalPrint).Ends == 2 })
+	b.crashes.Note("u9", time.Now(), fatalPrint)
+	eventually(t, func() bool { return a.crashes.Judge(fatalPrint).Refused })
+	c := lone("c")
+	eventually(t, func() bool { return c.crashes.Judge(fatalPrint).Refused })
+
+	outdated := []byte(`{"fingerprint":"` + fatalPrint.String() + `","crashes":[{"upstream":"u1","age_ms":1}],"written":1000}`)
+	_, err := kept.Commit(t.Context(), sandbarrow.Transaction{Put: map[string][]byte{crashPrefix + "old/gone": outdated, crashPrefix + "odd": []byte("{")}})
+	assert.NilError(t, err)
+	eventually(t, func() bool {
+		_, err := kept.Get(t.Context(), crashPrefix+"old/gone")
+		return err != nil
+	})
+}
+
+// Without controllers and without the store they learn it from their peers.
+func TestCrashesReachGatewaysThroughPeers(t *testing.T) {
+	peers, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	known := newLoneGateway()
+	go func() { _ = known.ServePeers(t.Context(), peers) }()
+	noteFatal(known, 3)
+	other := newLoneGateway("127.0.0.1:1", peers.Addr().String())
+	go func() { _ = newCrashSync(other).run(t.Context()) }()
+	eventually(t, func() bool { return other.crashes.Judge(fatalPrint).Refused })
+	other.crashes.Clear(fatalPrint)
+	eventually(t, func() bool { return !known.crashes.Judge(fatalPrint).Refused })
+}
+
+// A request under which upstreams have ended is refused at once, as not run, with when that
+// is forgotten; the same path with another body is served, and so is a request that was
+// answered since.
+func TestRefusesWhatEndsUpstreams(t *testing.T) {
+	f := newFleet(t, 0, 2)
+	f.configure(t, plainRoute(route.KindUnsafe))
+	c := &call{gateway: f.gateway}
+	c.request, _ = http.NewRequest(http.MethodPost, f.url+"/p/x", nil)
+	c.request.Host, c.request.RequestURI, c.body = testHost, "/p/x", []byte("body")
+	for i := range 3 {
+		f.gateway.crashes.Note(sandbarrow.InstanceID(fmt.Sprint("u", i)), time.Now(), c.fingerprint())
+	}
+	got := f.send(t.Context(), http.MethodPost, "/p/x", nil)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, got.body, string(reasonEndsUpstreams)+"\n")
+	assert.Assert(t, len(got.header.Get("Retry-After")) > 2, "some minutes")
+	assert.Equal(t, len(f.runners[0].runs())+len(f.runners[1].runs()), 0)
+	assert.Equal(t, f.send(t.Context(), http.MethodPost, "/p/y", nil).status, http.StatusOK)
+	f.gateway.crashes.Clear(c.fingerprint())
+	assert.Equal(t, f.send(t.Context(), http.MethodPost, "/p/x", nil).status, http.StatusOK)
+}
+
+// Repeats have the fingerprint of the first try; other bodies, models and workspaces differ.
+func TestFingerprintOfRepeats(t *testing.T) {
+	g := newLoneGateway()
+	of := func(body, model, id, last string) crash.Fingerprint {
+		q, _ := http.NewRequest(http.MethodPost, "http://h/p", nil)
+		q.RequestURI = "/p"
+		q.Header.Set(testNames.Model, model)
+		q.Header.Set(testNames.RequestID, id)
+		q.Header.Set(testNames.LastEvent, last)
+		q.Header.Set(testNames.Deadline, id)
+		c := &call{gateway: g}
+		c.request, c.body = q, []byte(body)
+		return c.fingerprint()
+	}
+	assert.Equal(t, of("b", "m/a", "1", ""), of("b", "m/a", "2", "7"))
+	assert.Assert(t, of("b", "m/a", "1", "") != of("c", "m/a", "1", ""))
+	assert.Assert(t, of("b", "m/a", "1", "") != of("b", "m/a2", "1", ""))
+}
--- a/gateway/fingerprint.go
+++ b/gateway/fingerprint.go
@@ -6,8 +6,8 @@
 // target and body, what an engine must hold and read for it, and the workspace of its key.
 // What differs between repeats stays out: the id, the deadline, the last event.
 func (c *call) fingerprint() crash.Fingerprint {
-	if c.print != nil {
-		return *c.print
+	if c.digest != nil {
+		return *c.digest
 	}
 	names := &c.gateway.config.Headers
 	h := c.request.Header
@@ -19,6 +19,6 @@
 		[]byte(c.request.Method), []byte(c.request.Host), []byte(c.request.RequestURI), c.body,
 		[]byte(h.Get(names.Model)), []byte(h.Get(names.Prompt)), []byte(h.Get(names.Tokens)), []byte(workspace),
 	)
-	c.print = &print
+	c.digest = &print
 	return print
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,9 +12,9 @@
 // The rules, each in a file of its own: choose.go and enginecost.go (which engine),
 // serveplain.go (which plain upstream), earlyrefusal.go (who is refused at once),
 // retryrule.go and retrybudget.go (what is sent again, and when it is given up),
-// progress.go (which stream is stalled), health.go (which upstream fails),
-// priority.go (what an engine reads first), engines.go (when this gateway is cut
-// off), stop.go (a planned stop). docs/DECISIONS.md lists them by question.
+// endsupstreams.go (what is sent to no upstream any more), progress.go (which stream is
+// stalled), health.go (which upstream fails), priority.go (what an engine reads first),
+// engines.go (when this gateway is cut off), stop.go (a planned stop). docs/DECISIONS.md lists them by question.
 package gateway
 
 import (
@@ -31,6 +31,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/crash"
 	"sandbarrow.example/sandbarrow/directory"
 	"sandbarrow.example/sandbarrow/estate"
 	"sandbarrow.example/sandbarrow/forward"
@@ -88,6 +89,7 @@
 // Gateway serves callers.
 type Gateway struct {
 	config    Config
+	crashes   *crash.Log
 	directory *directory.Directory
 	ends      *upstreamEnds
 	engines   *engines
@@ -111,6 +113,7 @@
 	g := &Gateway{
 		budgets:   map[sandbarrow.ServiceID]*retry.Budget{},
 		config:    c,
+		crashes:   crash.NewLog(time.Now),
 		directory: directory.New(c.Instances, c.Logger),
 		estate:    estate.New(c.Documents, c.Logger),
 		health:    newHealth(),
@@ -161,6 +164,8 @@
 	group.Go(func() error { return estateWatch.Run(work) })
 	group.Go(func() error { return g.listWatch().Run(work) })
 	group.Go(func() error { return g.ends.run(work) })
+	group.Go(func() error { return newCrashSync(g).run(work) })
+	group.Go(func() error { return newCrashKeeper(g).run(work) })
 	group.Go(func() error { return g.engines.run(work) })
 	group.Go(func() error { return g.learnFromPeers(work) })
 	group.Go(func() error { return g.leads.run(work) })
--- a/gateway/passanswer.go
+++ b/gateway/passanswer.go
@@ -44,6 +44,7 @@
 		event, err := a.Event()
 		if err == io.EOF && c.committed {
 			c.ran++
+			c.answeredBy(a)
 			c.finish(a.Status, "")
 			return verdictAnswered
 		}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -48,6 +48,8 @@
 		switch r.Method {
 		case enginelink.MethodFetch:
 			return enginelink.ServeFetch(rpc, r, g.estate)
+		case enginelink.MethodCrashes:
+			return g.serveCrashes(r)
 		case methodInstances:
 			var known enginelink.Mark
 			if err := wire.Decode(r, &known); err != nil {
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -60,6 +60,11 @@
 			s.why = why
 			break
 		}
+		if c.endsUpstreams() {
+			c.unpin(e)
+			s.why = reasonEndsUpstreams
+			break
+		}
 		if !c.maySend() {
 			c.unpin(e)
 			s.why = reasonBudget
@@ -209,6 +214,7 @@
 	go c.watchProgress(ctx, cancel, e, p)
 	c.gateway.health.begin(e.instance.ID)
 	result := c.runEngine(ctx, e, version, p)
+	c.gateway.crashes.Attempted()
 	if result == verdictBroken && !p.provenFor(provenRun) {
 		c.noteBroken(ctx, e.instance)
 	}
--- a/gateway/serveplain.go
+++ b/gateway/serveplain.go
@@ -36,6 +36,10 @@
 			why = forbidden
 			break
 		}
+		if c.endsUpstreams() {
+			why = reasonEndsUpstreams
+			break
+		}
 		if !c.maySend() {
 			break
 		}
@@ -92,6 +96,7 @@
 	if err != nil && !errors.Is(err, forward.ErrNotSent) {
 		c.noteBroken(ctx, in)
 	}
+	c.gateway.crashes.Attempted()
 	left := c.request.Context().Err() != nil
 	c.gateway.health.end(in.ID, !left && (err != nil || got.answer.Status >= http.StatusInternalServerError))
 	return got, err
--- a/gateway/upstreamend.go
+++ b/gateway/upstreamend.go
@@ -24,6 +24,9 @@
 	// endPause is the pause between two looks. Estimate, not measured: short against the
 	// time that an upstream takes to be back.
 	endPause = 100 * time.Millisecond
+	// endWait is how long a retry waits for the dial: a round trip to any box, where something
+	// or nothing listens there. A box that is silent says nothing. Estimate, not measured.
+	endWait = 60 * time.Millisecond
 	// mostEndLooks bounds the upstreams that wait to be looked at; of more that break at one
 	// moment, some are passed over.
 	mostEndLooks = 256
@@ -107,7 +110,7 @@
 	for {
 		select {
 		case l := <-u.due:
-			go u.look(ctx, l)
+			go u.look(ctx, l) // ends with ctx, or with endWindow
 		case <-ctx.Done():
 			return nil
 		}
@@ -147,13 +150,20 @@
 	}
 	l.evidence = evidence
 	u.gateway.metrics.ends.WithLabelValues(string(l.instance.Service), string(evidence)).Inc()
-	for _, b := range l.broken {
-		u.ended(l, b)
+	u.ended(l, l.broken...)
+}
+
+// ended notes that attempts broke since their upstream ended.
+func (u *upstreamEnds) ended(l *endLook, broken ...brokenAttempt) {
+	prints := make([]crash.Fingerprint, len(broken))
+	for i, b := range broken {
+		prints[i] = b.print
+		u.logEnded(l, b)
 	}
+	u.gateway.crashes.Note(l.instance.ID, broken[0].at, prints...)
 }
 
-// ended logs that an attempt broke since its upstream ended.
-func (u *upstreamEnds) ended(l *endLook, b brokenAttempt) {
+func (u *upstreamEnds) logEnded(l *endLook, b brokenAttempt) {
 	u.gateway.logger.LogAttrs(context.Background(), slog.LevelWarn, "upstream ended",
 		slog.String("upstream", string(l.instance.ID)), slog.String("evidence", string(l.evidence)), slog.String("request", string(b.request)),
 		slog.String("fingerprint", b.print.String()), slog.Int64("broken_ms", time.Since(b.at).Milliseconds()))
@@ -187,7 +197,9 @@
 }
 
 // noteBroken notes that the upstream may have ended under the attempt, unless this gateway
-// or the caller ended the attempt, or the upstream drains and ends as planned.
+// or the caller ended the attempt, or the upstream drains and ends as planned. It waits
+// until that is known, for endWait at most, so that it counts before the request is sent
+// again.
 func (c *call) noteBroken(ctx context.Context, in *sandbarrow.Instance) {
 	if ctx.Err() != nil || c.request.Context().Err() != nil {
 		return
@@ -195,5 +207,10 @@
 	if listed := c.gateway.directory.View().At(in.Address); listed != nil && listed.ID == in.ID && listed.Draining {
 		return
 	}
-	c.gateway.ends.broke(in, brokenAttempt{at: time.Now(), print: c.fingerprint(), request: sandbarrow.RequestID(c.id)})
+	dialled := c.gateway.ends.broke(in, brokenAttempt{at: time.Now(), print: c.fingerprint(), request: sandbarrow.RequestID(c.id)})
+	select {
+	case <-dialled:
+	case <-time.After(endWait):
+	case <-ctx.Done():
+	}
 }
