Show that the ages that guard rules do not count a suspension, and list it as red

Cause: time.Now's monotonic reading stands still while a machine is suspended; leases in the store, callers and other processes go on.

--- a/agent/connection.go
+++ b/agent/connection.go
@@ -63,7 +63,7 @@
 // serve serves one entry until it leaves.
 func (a *Agent) serve(ctx context.Context, conn net.Conn) {
 	c := &connection{agent: a, resident: -1}
-	c.heard.Store(time.Now().UnixNano())
+	c.contact()
 	ready := make(chan struct{})
 	c.rpc = jsonrpc2.NewConn(ctx, wire.NewStream(conn), wire.Handler(
 		func(ctx context.Context, r *jsonrpc2.Request) (any, error) {
@@ -107,7 +107,7 @@
 // handle serves one message. It must not block, since it holds up the
 // connection; what takes time replies later.
 func (c *connection) handle(ctx context.Context, r *jsonrpc2.Request) (any, error) {
-	c.heard.Store(time.Now().UnixNano())
+	c.contact()
 	switch r.Method {
 	case wire.MethodAttempt:
 		return nil, c.handleAttempt(r)
@@ -223,7 +223,7 @@
 		working[at.conn.box] = true
 	}
 	for c := range a.conns {
-		if now.Sub(time.Unix(0, c.heard.Load())) > entryTimeout {
+		if c.silence() > entryTimeout {
 			a.logger.Warn("entry is silent, connection closed")
 			go c.rpc.Close()
 			continue
@@ -236,6 +236,16 @@
 	}
 }
 
+// contact notes that the entry has sent a message.
+func (c *connection) contact() {
+	c.heard.Store(time.Now().UnixNano())
+}
+
+// silence is for how long the entry has sent nothing.
+func (c *connection) silence() time.Duration {
+	return time.Since(time.Unix(0, c.heard.Load()))
+}
+
 // status is the status for one entry. The caller holds mu.
 func (a *Agent) status(c *connection) wire.Status {
 	st := a.scheduler.Stats(time.Now())
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -42,12 +42,17 @@
 	retry   bool
 }
 
+// left is how long it is until the deadline.
+func (j *job) left() time.Duration {
+	return time.Until(j.deadline)
+}
+
 // dispatch makes attempts until one is final, and decides when a request is given up:
 // when no upstream suits, its verdict permits no retry, its deadline is over, the
 // caller has a part of the answer, or the retry budget is spent (but for retries that
 // cost nothing, since nothing ran). maxAttempts bounds them in any case.
 func (e *Entry) dispatch(ctx context.Context, j *job) (wire.AttemptResult, *sandbarrow.Refusal) {
-	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	ctx, cancel := context.WithTimeout(ctx, j.left())
 	defer cancel()
 	e.budget.Request()
 	j.route.Exclude = &sandbarrow.IndexSet{}
@@ -97,7 +102,7 @@
 	}
 	e.fleet.Begin(index)
 	defer e.fleet.End(index)
-	j.attempt.DeadlineMS = wire.Millis(time.Until(j.deadline))
+	j.attempt.DeadlineMS = wire.Millis(j.left())
 	result, err := p.attempt(ctx, j.attempt, j.stream)
 	switch {
 	case errors.Is(err, errNotSent):
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -54,7 +54,7 @@
 // dial opens the lanes and exchanges greetings.
 func (e *Entry) dial(ctx context.Context, box sandbarrow.Box) (*peer, error) {
 	p := &peer{box: box, entry: e, streams: map[uint64]*answerStream{}}
-	p.lastContact.Store(time.Now().UnixNano())
+	p.contact()
 	ready := make(chan struct{})
 	for i := range lanes {
 		reply, err := p.openLane(ctx, i > 0, ready)
@@ -135,9 +135,8 @@
 		case <-ended:
 			return
 		case <-t.C:
-			since := time.Since(time.Unix(0, p.lastContact.Load()))
-			if since > p.patience() {
-				p.entry.logger.Warn("agent is silent, connection closed", "agent", string(p.box.ID), "silence", since.String())
+			if silence := p.silence(); silence > p.patience() {
+				p.entry.logger.Warn("agent is silent, connection closed", "agent", string(p.box.ID), "silence", silence.String())
 				return
 			}
 			if p.inflight.Load() > 0 || time.Since(marked) >= wire.IdleHeartbeat {
@@ -148,6 +147,16 @@
 	}
 }
 
+// contact notes that a message has arrived from the agent.
+func (p *peer) contact() {
+	p.lastContact.Store(time.Now().UnixNano())
+}
+
+// silence is for how long nothing has arrived from the agent.
+func (p *peer) silence() time.Duration {
+	return time.Since(time.Unix(0, p.lastContact.Load()))
+}
+
 // patience is how long nothing may arrive from the agent before it counts as
 // unreachable.
 func (p *peer) patience() time.Duration {
@@ -162,7 +171,7 @@
 }
 
 func (p *peer) handleMessage(ctx context.Context, r *jsonrpc2.Request) (any, error) {
-	p.lastContact.Store(time.Now().UnixNano())
+	p.contact()
 	switch r.Method {
 	case wire.MethodConfigPull:
 		return wire.Later(p.lanes[0], r, func(q wire.ConfigPull) any { return wire.ReplyTo(q, p.entry.follower.Snapshot()) })
@@ -222,7 +231,7 @@
 func (p *peer) attempt(ctx context.Context, req wire.AttemptRequest, s *answerStream) (wire.AttemptResult, error) {
 	if p.inflight.Add(1) == 1 {
 		// The agent sends heartbeats from now on.
-		p.lastContact.Store(time.Now().UnixNano())
+		p.contact()
 	}
 	defer p.inflight.Add(-1)
 	req.Handle = p.handle.Add(1)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -65,7 +65,8 @@
 // ServeHTTP serves one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{gateway: g, writer: w}
-	c.began, c.request, c.id = time.Now(), r, r.Header.Get(g.config.Headers.RequestID)
+	c.begin(r)
+	c.id = r.Header.Get(g.config.Headers.RequestID)
 	w.Header()["Date"] = nil
 	if _, stopping := g.stopped(); stopping || g.engines.isolated() {
 		w.Header().Set("Connection", "close")
@@ -73,7 +74,7 @@
 	if !c.findRoute() || !c.authenticate() || !c.prepare() || !c.admit() || !c.admitContent() {
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.ends)
+	ctx, cancel := context.WithTimeout(r.Context(), c.left())
 	defer cancel()
 	if !c.takeQuota(ctx) {
 		return
--- a/gateway/callend.go
+++ b/gateway/callend.go
@@ -68,7 +68,7 @@
 
 // giveUp ends a call that has no answer.
 func (c *call) giveUp(ctx context.Context, why reason) {
-	late := !time.Now().Before(c.ends.Add(-leastSend))
+	late := c.left() <= leastSend
 	if c.request.Context().Err() != nil {
 		c.finish(0, reasonLeft)
 		panic(http.ErrAbortHandler) // nobody reads an answer
--- a/gateway/callerrequest.go
+++ b/gateway/callerrequest.go
@@ -61,6 +61,21 @@
 	workspace *access.Workspace
 }
 
+// begin notes that the request has come.
+func (r *callerRequest) begin(q *http.Request) {
+	r.began, r.request = time.Now(), q
+}
+
+// elapsed is how long ago the request came.
+func (r *callerRequest) elapsed() time.Duration {
+	return time.Since(r.began)
+}
+
+// left is how long it is until the call ends.
+func (r *callerRequest) left() time.Duration {
+	return time.Until(r.ends)
+}
+
 // prepare reads the request and checks it. On a fault it answers and returns false.
 func (c *call) prepare() bool {
 	if !c.readBody() {
@@ -214,7 +229,7 @@
 func (c *call) upstreamRequest(in *sandbarrow.Instance, version sandbarrow.AdapterVersion) *forward.Request {
 	names := &c.gateway.config.Headers
 	h := c.header.Clone()
-	h.Set(names.Deadline, strconv.FormatInt(max(1, time.Until(c.callerEnds).Milliseconds()), 10))
+	h.Set(names.Deadline, strconv.FormatInt(max(1, (c.left()+c.callerEnds.Sub(c.ends)).Milliseconds()), 10))
 	h.Set(names.ExpectInstance, string(in.ID.Listed()))
 	if c.service.Engine != nil {
 		if c.chosen != nil && c.chosen.move.from() != "" {
--- a/gateway/calllog.go
+++ b/gateway/calllog.go
@@ -17,7 +17,7 @@
 func (c *call) logAttempt(id sandbarrow.InstanceID, result, cause string, e *candidate) {
 	attrs := []slog.Attr{
 		slog.String("request", c.id), slog.String("upstream", string(id)), slog.String("result", result), slog.String("cause", cause),
-		slog.Int64("after_ms", time.Since(c.began).Milliseconds()), slog.Int("sent", c.sent), slog.Int("events", c.events),
+		slog.Int64("after_ms", c.elapsed().Milliseconds()), slog.Int("sent", c.sent), slog.Int("events", c.events),
 	}
 	if c.digest != nil {
 		attrs = append(attrs, slog.String("fingerprint", c.digest.String()))
@@ -28,7 +28,7 @@
 
 // finish counts the call and writes its line.
 func (c *call) finish(status int, why reason) {
-	took := time.Since(c.began)
+	took := c.elapsed()
 	c.gateway.metrics.finished(c, status, why, took)
 	level := slog.LevelInfo
 	if why != "" {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -30,7 +30,7 @@
 	now := time.Now()
 	list := g.eligible(c, now, excluded, (*scratch)[:0])
 	*scratch = list
-	n := need{key: c.key, version: c.version, tokens: c.tokens, loads: g.weights.choice, movePerToken: c.service.Engine.MovePerToken, untilObjective: c.untilObjective(now)}
+	n := need{key: c.key, version: c.version, tokens: c.tokens, loads: g.weights.choice, movePerToken: c.service.Engine.MovePerToken, untilObjective: c.untilObjective()}
 	best, ok := cheapest(list, &n)
 	if !ok {
 		return nil
@@ -80,9 +80,9 @@
 const noObjective = time.Hour
 
 // untilObjective is the part of the objective that is left for an answer.
-func (c *call) untilObjective(now time.Time) time.Duration {
+func (c *call) untilObjective() time.Duration {
 	if c.route.Objective <= 0 {
 		return noObjective
 	}
-	return time.Duration(lateShare*float64(c.route.Objective)) - now.Sub(c.began)
+	return time.Duration(lateShare*float64(c.route.Objective)) - c.elapsed()
 }
--- a/gateway/endsupstreams.go
+++ b/gateway/endsupstreams.go
@@ -69,7 +69,7 @@
 	if c.endsUpstreams() || c.judged.Ends < suspectFrom {
 		return
 	}
-	wait := min(suspectWait<<(c.judged.Ends-suspectFrom), time.Until(c.ends)/suspectWaitParts)
+	wait := min(suspectWait<<(c.judged.Ends-suspectFrom), c.left()/suspectWaitParts)
 	pause.For(ctx, rand.N(max(1, wait)))
 }
 
--- a/gateway/passanswer.go
+++ b/gateway/passanswer.go
@@ -113,7 +113,7 @@
 	c.committed = true
 	c.copyHead(a)
 	c.writer.WriteHeader(a.Status)
-	c.first = time.Since(c.began)
+	c.first = c.elapsed()
 	c.gateway.metrics.firstEvent(c, c.first)
 }
 
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -36,7 +36,7 @@
 // answered or the request may not be sent again.
 func (c *call) serveEngine(ctx context.Context) {
 	s := engineSearch{excluded: map[sandbarrow.InstanceID]bool{}, why: reasonNoUpstream}
-	for ctx.Err() == nil && time.Until(c.ends) > leastSend && s.mayAsk() {
+	for ctx.Err() == nil && c.left() > leastSend && s.mayAsk() {
 		c.holdSuspect(ctx)
 		c.version = c.leastVersion()
 		e := c.gateway.chooseEngine(c, s.excluded)
@@ -48,7 +48,7 @@
 		}
 		c.chosen = e
 		patience := c.callerEnds.Sub(c.began)
-		if s.first() && refuseEarly(e, time.Since(c.began), c.route.Objective, c.route.Timeout, patience) {
+		if s.first() && refuseEarly(e, c.elapsed(), c.route.Objective, c.route.Timeout, patience) {
 			c.refuse(http.StatusServiceUnavailable, reasonOverload)
 			return
 		}
@@ -76,7 +76,7 @@
 // awaitEngines waits a moment where no engine can serve the request, as right
 // after a start, and reports whether to look again.
 func (c *call) awaitEngines(ctx context.Context) bool {
-	if time.Since(c.began) > enginesWait {
+	if c.elapsed() > enginesWait {
 		return false
 	}
 	pause.For(ctx, lookPause)
@@ -122,7 +122,7 @@
 // the request goes to an engine that is listed as holding the adapter, and the
 // engine itself refuses it where that is no longer so.
 func (c *call) acquire(ctx context.Context, e *candidate, patience time.Duration) (enginelink.Grant, bool) {
-	wait := min(patience, time.Until(c.ends))
+	wait := min(patience, c.left())
 	ask := &enginelink.Acquire{
 		Adapter: c.key.Adapter, ID: sandbarrow.RequestID(c.id), Instance: e.instance.ID, Model: c.key.Model,
 		MostWaiting: e.mostWaitingTokens(), Priority: c.priority(), Stretches: c.stretches, Tokens: c.tokens, Version: c.version, UsefulMS: c.useful(e).Milliseconds(),
@@ -151,7 +151,7 @@
 // useful is how long a grant at an engine still lets the answer be in time; it may be
 // negative.
 func (c *call) useful(e *candidate) time.Duration {
-	return c.untilObjective(time.Now()) - e.speed().Read(e.unread(c.tokens))
+	return c.untilObjective() - e.speed().Read(e.unread(c.tokens))
 }
 
 // unpin ends the pin at an engine.
--- a/gateway/serveplain.go
+++ b/gateway/serveplain.go
@@ -27,7 +27,7 @@
 func (c *call) servePlain(ctx context.Context) {
 	excluded := map[sandbarrow.InstanceID]bool{}
 	why := reasonNoUpstream
-	for ctx.Err() == nil && time.Until(c.ends) > leastSend {
+	for ctx.Err() == nil && c.left() > leastSend {
 		c.holdSuspect(ctx)
 		in := c.gateway.choosePlain(c, excluded)
 		if in == nil {
--- /dev/null
+++ b/gateway/suspension_test.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"gotest.tools/v3/assert"
+
+	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/access"
+	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/estate"
+	"sandbarrow.example/sandbarrow/internal/boottime"
+	"sandbarrow.example/sandbarrow/quota"
+	"sandbarrow.example/sandbarrow/route"
+	"sandbarrow.example/sandbarrow/wire"
+)
+
+// A machine may be suspended for seconds: its steady clock stands still meanwhile, while
+// what others hold runs on (a lease in the store, a caller's patience, the other end of a
+// link). An age that the steady clock counts is then too young, and guards nothing.
+func TestSuspension(t *testing.T) {
+	t.Run("a configuration is not trusted for longer", func(t *testing.T) {
+		reader := &switchedReader{}
+		f := newFleetWith(t, 0, 1, func(c *Config) { c.RevokeBound, c.TableStore = 5*time.Second, reader })
+		reader.set(f.store)
+		f.workspaces = redAndBlue()
+		f.configure(t, plainRoute(route.KindSafe))
+		assert.Equal(t, f.send(t.Context(), http.MethodGet, "/p/", withKey("red-key")).status, http.StatusOK)
+		reader.set(nil)
+		boottime.Suspend(5 * time.Second)
+		got := f.send(t.Context(), http.MethodGet, "/p/", withKey("red-key"))
+		assert.Check(t, got.status == http.StatusServiceUnavailable, "status %d", got.status)
+		assert.Check(t, got.body == string(reasonStale)+"\n", got.body)
+		assert.Check(t, !f.gateway.Ready())
+	})
+	t.Run("a grant that was held up is not used", func(t *testing.T) {
+		g := newLoneGateway()
+		near, far := net.Pipe()
+		leader := jsonrpc2.NewConn(t.Context(), wire.NewStream(far), wire.Handler(func(context.Context, *jsonrpc2.Request) (any, error) {
+			boottime.Suspend(time.Second) // while the answer is on its way
+			return enginelink.Taken{Granted: true, LifeMS: 500}, nil
+		}))
+		defer leader.Close()
+		l := &controllerLink{gateway: g}
+		l.reconnect(jsonrpc2.NewConn(t.Context(), wire.NewStream(near), wire.Handler(func(context.Context, *jsonrpc2.Request) (any, error) { return nil, nil })))
+		g.leads.learn(l, &enginelink.Leads{Terms: []enginelink.LeadTerm{{Shard: 1, Term: 3}}})
+		c := &call{gateway: g}
+		c.workspace = &access.Workspace{ID: "red"}
+		_, ok := c.askLeader(t.Context(), quota.Shard(1))
+		assert.Check(t, !ok)
+	})
+	t.Run("a link is silent for as long", func(t *testing.T) {
+		g := newLoneGateway()
+		l := &controllerLink{gateway: g}
+		l.reconnect(&jsonrpc2.Conn{})
+		g.engines.links["a"] = l
+		assert.Assert(t, g.engines.anyUp())
+		boottime.Suspend(enginelink.HeartbeatTimeout)
+		assert.Check(t, !g.engines.anyUp())
+	})
+	t.Run("an upstream gets what is left of the caller's time", func(t *testing.T) {
+		g := newLoneGateway()
+		c := &call{gateway: g}
+		c.begin(httpRequest(t, "2000"))
+		c.header = http.Header{}
+		c.route, c.service = &route.Route{Timeout: 10 * time.Second}, &route.Service{}
+		assert.Assert(t, c.readDeadline())
+		boottime.Suspend(1500 * time.Millisecond)
+		sent := c.upstreamRequest(&sandbarrow.Instance{ID: "u"}, 0).Header.Get(testNames.Deadline)
+		left, err := strconv.Atoi(sent)
+		assert.NilError(t, err)
+		assert.Check(t, left <= 500, "%d ms left of 2000, 1500 later", left)
+		assert.Check(t, c.left() <= 500*time.Millisecond)
+	})
+}
+
+func httpRequest(t *testing.T, deadline string) *http.Request {
+	q, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://h/p", nil)
+	assert.NilError(t, err)
+	q.Header.Set(testNames.Deadline, deadline)
+	return q
+}
+
+// switchedReader reads from a store, or fails where it has none.
+type switchedReader struct {
+	mu    sync.Mutex
+	store estate.Reader
+}
+
+func (r *switchedReader) set(store estate.Reader) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.store = store
+}
+
+func (r *switchedReader) Get(ctx context.Context, key string) (sandbarrow.Item, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.store == nil {
+		return sandbarrow.Item{}, sandbarrow.ErrStoreUnavailable
+	}
+	return r.store.Get(ctx, key)
+}
--- a/gateway/takequota.go
+++ b/gateway/takequota.go
@@ -60,7 +60,7 @@
 	}
 	began := time.Now()
 	c.quota.units = c.workspace.Limit.Cost(c.request.Header.Get(c.gateway.config.Headers.Tokens))
-	until := began.Add(min(quotaWait, time.Until(c.ends)/quotaWaitShare))
+	until := began.Add(min(quotaWait, c.left()/quotaWaitShare))
 	for {
 		found := c.askParts(ctx)
 		c.quota.waited = time.Since(began)
