--- a/agent/agent.go
+++ b/agent/agent.go
@@ -18,6 +18,7 @@
 	"sandbarrow.example/sandbarrow/claim"
 	"sandbarrow.example/sandbarrow/config"
 	"sandbarrow.example/sandbarrow/evict"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/lease"
 	"sandbarrow.example/sandbarrow/loadbudget"
 	"sandbarrow.example/sandbarrow/queueorder"
@@ -201,7 +202,7 @@
 func (a *Agent) pumpWaiting() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	a.pump(now)
 	return a.scheduler.Stats(now).Queued > 0
 }
@@ -209,7 +210,7 @@
 // pump starts what can start and orders what can be ordered. The caller holds mu.
 func (a *Agent) pump(now time.Time) {
 	for _, t := range a.scheduler.GiveUp(now) {
-		a.endWaiting(t, sandbarrow.NotRun(sandbarrow.ReasonOverload, "the deadline can't be met any more", a.scheduler.Stats(time.Now()).LoadWait))
+		a.endWaiting(t, sandbarrow.NotRun(sandbarrow.ReasonOverload, "the deadline can't be met any more", a.scheduler.Stats(boottime.Now()).LoadWait))
 	}
 	for t := a.scheduler.NextStart(now); t != nil; t = a.scheduler.NextStart(now) {
 		at := a.byTicket[t]
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -9,6 +9,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/claim"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/schedule"
 	"sandbarrow.example/sandbarrow/wire"
 )
@@ -64,7 +65,7 @@
 
 // receive queues an attempt or refuses it at once.
 func (a *Agent) receive(c *connection, req wire.AttemptRequest, reply func(wire.AttemptResult)) {
-	now := time.Now()
+	now := boottime.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	at := &attempt{conn: c, done: make(chan struct{}), reply: reply, req: req}
@@ -141,20 +142,20 @@
 	if at == nil {
 		// Messages of a connection keep their order, so that the attempt has
 		// come and ended; only its result says whether it ran.
-		a.tombs[key] = time.Now()
+		a.tombs[key] = boottime.Now()
 		a.mu.Unlock()
 		return wire.RevokeReply{Outcome: sandbarrow.OutcomeUnknown}
 	}
 	at.withdrawn = true
 	switch at.state {
 	case attemptQueued:
-		a.tombs[key] = time.Now()
+		a.tombs[key] = boottime.Now()
 		a.scheduler.Remove(at.ticket)
 		a.end(at, resultOf(sandbarrow.NotRun(sandbarrow.ReasonRevoked, "revoked", 0)))
 		a.mu.Unlock()
 		return notRun
 	case attemptStarting:
-		a.tombs[key] = time.Now()
+		a.tombs[key] = boottime.Now()
 		a.mu.Unlock()
 		select {
 		case <-at.done: // the claim is released by then
@@ -278,7 +279,7 @@
 // finish ends an attempt that held a running place. After a failure the
 // engine may still be running it for a moment.
 func (a *Agent) finish(at *attempt, result wire.AttemptResult, failed bool) {
-	now := time.Now()
+	now := boottime.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.scheduler.Finish(now, at.ticket)
--- a/agent/connection.go
+++ b/agent/connection.go
@@ -11,6 +11,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/config"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/logging"
 	"sandbarrow.example/sandbarrow/wire"
 )
@@ -32,7 +33,7 @@
 // connection is the connection of one entry.
 type connection struct {
 	agent *Agent
-	heard atomic.Int64 // when the entry last sent a message, in Unix nanoseconds
+	heard atomic.Int64 // when the entry last sent a message, in nanoseconds of boottime
 	rpc   *jsonrpc2.Conn
 
 	// The agent's mu guards what follows.
@@ -214,7 +215,7 @@
 }
 
 func (a *Agent) broadcastStatus() {
-	now := time.Now()
+	now := boottime.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.forgetTombs(now)
@@ -238,17 +239,17 @@
 
 // contact notes that the entry has sent a message.
 func (c *connection) contact() {
-	c.heard.Store(time.Now().UnixNano())
+	c.heard.Store(boottime.Now().UnixNano())
 }
 
 // silence is for how long the entry has sent nothing.
 func (c *connection) silence() time.Duration {
-	return time.Since(time.Unix(0, c.heard.Load()))
+	return time.Duration(boottime.Now().UnixNano() - c.heard.Load())
 }
 
 // status is the status for one entry. The caller holds mu.
 func (a *Agent) status(c *connection) wire.Status {
-	st := a.scheduler.Stats(time.Now())
+	st := a.scheduler.Stats(boottime.Now())
 	s := wire.Status{
 		Config:    a.follower.Mark(),
 		Draining:  a.draining,
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -1,10 +1,9 @@
 package agent
 
 import (
-	"time"
-
 	"github.com/prometheus/client_golang/prometheus"
 
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/schedule"
 )
 
@@ -35,7 +34,7 @@
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 {
 			a.mu.Lock()
 			defer a.mu.Unlock()
-			return float64(value(a.scheduler.Stats(time.Now())))
+			return float64(value(a.scheduler.Stats(boottime.Now())))
 		})
 	}
 	r.MustRegister(m.attempts, m.orders, m.stalls,
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/lease"
 	"sandbarrow.example/sandbarrow/schedule"
 )
@@ -93,7 +94,7 @@
 func (a *Agent) loadLimit() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return min(loadTimeout, max(loadTimeoutMin, loadPatience*a.scheduler.Stats(time.Now()).Load))
+	return min(loadTimeout, max(loadTimeoutMin, loadPatience*a.scheduler.Stats(boottime.Now()).Load))
 }
 
 func (a *Agent) unload(o schedule.Order) bool {
@@ -118,7 +119,7 @@
 	if err != nil {
 		a.logger.Warn("load failed", "adapter", o.Model.String(), "error", err.Error())
 	}
-	now := time.Now()
+	now := boottime.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	refused := errors.Is(err, sandbarrow.ErrUpstreamRefused)
--- a/agent/orders_test.go
+++ b/agent/orders_test.go
@@ -12,6 +12,7 @@
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/evict"
 	"sandbarrow.example/sandbarrow/internal/await"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/lease"
 	"sandbarrow.example/sandbarrow/loadbudget"
 	"sandbarrow.example/sandbarrow/queueorder"
@@ -55,7 +56,7 @@
 		waiting:  make(chan struct{}, 1),
 	}
 	a.metrics = newMetrics(prometheus.NewRegistry(), a)
-	now := time.Now()
+	now := boottime.Now()
 	a.adopt(now, sandbarrow.UpstreamState{Start: "first"})
 	ticket := &schedule.Ticket{Arrived: now, Deadline: now.Add(time.Minute), Model: testModel}
 	assert.NilError(t, a.scheduler.Submit(now, ticket))
@@ -109,7 +110,7 @@
 func TestListOfAnotherStart(t *testing.T) {
 	engine := &fakeEngine{state: sandbarrow.UpstreamState{Start: "first", Loaded: map[sandbarrow.ModelRef]int{testModel: 0}}}
 	a, o := restartedAgent(t, engine)
-	a.scheduler.Postpone(time.Now(), o)
+	a.scheduler.Postpone(boottime.Now(), o)
 	a.adoptUnknown(t.Context())
 	assert.Equal(t, a.holds(), 0)
 }
--- a/agent/state.go
+++ b/agent/state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 )
 
 const (
@@ -61,7 +62,7 @@
 		a.logger.Debug("engine state not read", "error", err.Error()) // a change of readiness is logged as such
 		return false
 	}
-	now := time.Now()
+	now := boottime.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if state.Start != a.start {
@@ -86,7 +87,7 @@
 		a.logger.Debug("engine state not read", "error", err.Error()) // the next look takes the list in
 		return
 	}
-	now := time.Now()
+	now := boottime.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if state.Start != a.start {
--- a/claim/storeclaimer.go
+++ b/claim/storeclaimer.go
@@ -16,6 +16,7 @@
 	"github.com/juju/errors"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 )
 
 // The errors of claimers. None of them permits a run.
@@ -244,14 +245,14 @@
 func (s *Store) leaseNow(ctx context.Context) (sandbarrow.LeaseID, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.lease != "" && time.Now().Before(s.leaseEnds) {
+	if s.lease != "" && boottime.Now().Before(s.leaseEnds) {
 		return s.lease, nil
 	}
 	id, err := s.store.GrantLease(ctx, Retention+leaseSpan)
 	if err != nil {
 		return "", err
 	}
-	s.lease, s.leaseEnds = id, time.Now().Add(leaseSpan)
+	s.lease, s.leaseEnds = id, boottime.Now().Add(leaseSpan)
 	return id, nil
 }
 
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -30,6 +30,7 @@
 	"sandbarrow.example/sandbarrow/enginelink"
 	"sandbarrow.example/sandbarrow/estate"
 	"sandbarrow.example/sandbarrow/evict"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/prefixwatch"
 	"sandbarrow.example/sandbarrow/quota"
 	"sandbarrow.example/sandbarrow/quota/leader"
@@ -104,8 +105,8 @@
 func New(c Config) *Controller {
 	e := estate.New(c.Documents, c.Logger)
 	k := &Controller{
-		box: c.Box, control: c.Control, crashes: crash.NewLog(time.Now), engine: c.Engine, estate: e, links: map[*link]bool{}, orphans: map[sandbarrow.RequestID]*pin{}, logger: c.Logger,
-		metrics: newMetrics(c.Metrics), now: time.Now, published: newPublisher(), service: c.Service, slots: newSlots(evict.NewCost()), store: c.Store,
+		box: c.Box, control: c.Control, crashes: crash.NewLog(boottime.Now), engine: c.Engine, estate: e, links: map[*link]bool{}, orphans: map[sandbarrow.RequestID]*pin{}, logger: c.Logger,
+		metrics: newMetrics(c.Metrics), now: boottime.Now, published: newPublisher(), service: c.Service, slots: newSlots(evict.NewCost()), store: c.Store,
 		wake: make(chan struct{}, 1),
 		watch: prefixwatch.Watch{
 			Consumer: e, Logger: c.Logger, Prefix: c.Documents.Prefix(), Store: c.Store, Wait: watchWait,
--- a/controller/frozen_test.go
+++ b/controller/frozen_test.go
@@ -9,6 +9,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 )
 
 // A controller that was stopped for longer than its gateways wait for a status goes on with
@@ -27,7 +28,7 @@
 	time.Sleep(relinkTime + pinReportTime)
 	step(t, c)
 	c.mu.Lock()
-	c.now = func() time.Time { return time.Now().Add(enginelink.HeartbeatTimeout + enginelink.Heartbeat) } // as by SIGSTOP
+	c.now = func() time.Time { return boottime.Now().Add(enginelink.HeartbeatTimeout + enginelink.Heartbeat) } // as by SIGSTOP
 	c.mu.Unlock()
 	_, err := link.DispatchCall(t.Context(), enginelink.MethodAcquire, enginelink.Acquire{Adapter: "new", ID: "1", Model: testModel, WaitMS: 3000})
 	assert.NilError(t, err)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 )
 
 // listed is an instance with its entry in the list.
@@ -93,7 +94,7 @@
 func (d *Directory) Age() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return time.Since(d.confirmedAt)
+	return boottime.Since(d.confirmedAt)
 }
 
 // LastNew is when an upstream was listed last that was not known before.
@@ -116,7 +117,7 @@
 	if at < d.at {
 		return
 	}
-	now := time.Now()
+	now := boottime.Now()
 	if !d.confirmedAt.IsZero() && now.Sub(d.confirmedAt) > outageAfter {
 		d.recoveredAt = now
 	}
@@ -129,7 +130,7 @@
 	old, known := d.entries[id]
 	known = known && old.instance.ID.Is(instance.ID) // one that has started again is a new one
 	if !known {
-		d.newest = time.Now()
+		d.newest = boottime.Now()
 	}
 	if !known || old.instance.Draining != instance.Draining {
 		d.logger.Info("upstream listed", "upstream", string(instance.ID), "address", instance.Address,
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 )
 
 // list reads values such as "service address" or "service address leaving", each followed
@@ -89,7 +90,7 @@
 // grace, and those that do not come back leave after it.
 func TestMassGoneAfterOutage(t *testing.T) {
 	d := newDirectory()
-	d.confirmedAt = time.Now().Add(-2 * outageAfter)
+	d.confirmedAt = boottime.Now().Add(-2 * outageAfter)
 	d.Update([]sandbarrow.KeyItem{gone("a", 6), gone("b", 7), gone("c", 8)}, 8)
 	assert.Equal(t, ids(d, "s"), "a b c d")
 	d.Update([]sandbarrow.KeyItem{item("b", 9, "s 2")}, 9)
--- a/directory/lapse.go
+++ b/directory/lapse.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 )
 
 // After an outage of the store upstreams may be missing from the list although they
@@ -42,7 +43,7 @@
 	})
 	sinceOutage := time.Duration(-1)
 	if !d.recoveredAt.IsZero() {
-		sinceOutage = time.Since(d.recoveredAt)
+		sinceOutage = boottime.Since(d.recoveredAt)
 	}
 	lapse := isLapse(len(left), len(d.entries), sinceOutage)
 	for id, at := range left {
--- a/directory/lapse_test.go
+++ b/directory/lapse_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 )
 
 func TestIsLapse(t *testing.T) {
@@ -31,7 +32,7 @@
 // want of a second word of its end.
 func TestGraceAtAPeerEndsHereToo(t *testing.T) {
 	peer := newDirectory()
-	peer.confirmedAt = time.Now().Add(-2 * outageAfter)
+	peer.confirmedAt = boottime.Now().Add(-2 * outageAfter)
 	peer.Update([]sandbarrow.KeyItem{gone("a", 6), gone("b", 7), gone("c", 8)}, 8)
 	starting := New(list{}, slog.New(slog.DiscardHandler))
 	assert.Assert(t, starting.Adopt(peer.Items()))
@@ -48,7 +49,7 @@
 // of one that is gone.
 func TestLateHeartbeatDoesNotEndTheGrace(t *testing.T) {
 	d := newDirectory()
-	d.confirmedAt = time.Now().Add(-2 * outageAfter)
+	d.confirmedAt = boottime.Now().Add(-2 * outageAfter)
 	d.Update([]sandbarrow.KeyItem{gone("a", 7), gone("b", 8), gone("c", 9)}, 9)
 	d.Update([]sandbarrow.KeyItem{item("a", 6, "s 1")}, 6)
 	assert.Equal(t, len(d.lapsed), 3)
@@ -57,7 +58,7 @@
 // The end of one grace does not cut short a later one of the same upstream.
 func TestGraceEndsItselfAlone(t *testing.T) {
 	d := newDirectory()
-	d.confirmedAt = time.Now().Add(-2 * outageAfter)
+	d.confirmedAt = boottime.Now().Add(-2 * outageAfter)
 	d.Update([]sandbarrow.KeyItem{gone("a", 6), gone("b", 7), gone("c", 8)}, 8)
 	d.Update([]sandbarrow.KeyItem{item("a", 9, "s 1"), item("b", 10, "s 2")}, 10)
 	d.Update([]sandbarrow.KeyItem{gone("a", 11), gone("b", 12)}, 12)
@@ -70,7 +71,7 @@
 // A late answer says nothing of now.
 func TestLateAnswerConfirmsNothing(t *testing.T) {
 	d := newDirectory()
-	d.confirmedAt = time.Now().Add(-time.Second)
+	d.confirmedAt = boottime.Now().Add(-time.Second)
 	d.Update(nil, 4)
 	assert.Assert(t, d.Age() >= time.Second)
 	d.Update(nil, 5)
--- a/enginelink/estatesync.go
+++ b/enginelink/estatesync.go
@@ -7,6 +7,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"sandbarrow.example/sandbarrow/estate"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/wire"
 )
 
@@ -62,7 +63,7 @@
 // the peer's state was the newest.
 func Fetch(ctx context.Context, rpc *jsonrpc2.Conn, e *estate.Estate) error {
 	mine, _ := e.Mark()
-	asked := time.Now()
+	asked := boottime.Now()
 	var got Estate
 	if err := rpc.Call(ctx, MethodFetch, Mark{Revision: mine}, &got); err != nil {
 		return err
@@ -88,6 +89,6 @@
 	if at.IsZero() {
 		return nil
 	}
-	ms := time.Since(at).Milliseconds() + 1
+	ms := boottime.Since(at).Milliseconds() + 1
 	return &ms
 }
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/wire"
 )
 
@@ -44,7 +45,7 @@
 
 // left is how long it is until the deadline.
 func (j *job) left() time.Duration {
-	return time.Until(j.deadline)
+	return boottime.Until(j.deadline)
 }
 
 // dispatch makes attempts until one is final, and decides when a request is given up:
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/logging"
 	"sandbarrow.example/sandbarrow/placement"
 	"sandbarrow.example/sandbarrow/wire"
@@ -41,7 +42,7 @@
 	box         sandbarrow.Box
 	entry       *Entry
 	handle      atomic.Uint64
-	lastContact atomic.Int64 // Unix nanoseconds of the last message
+	lastContact atomic.Int64 // when the last message came, in nanoseconds of boottime
 	hello       wire.HelloReply
 	index       int
 	inflight    atomic.Int64
@@ -149,12 +150,12 @@
 
 // contact notes that a message has arrived from the agent.
 func (p *peer) contact() {
-	p.lastContact.Store(time.Now().UnixNano())
+	p.lastContact.Store(boottime.Now().UnixNano())
 }
 
 // silence is for how long nothing has arrived from the agent.
 func (p *peer) silence() time.Duration {
-	return time.Since(time.Unix(0, p.lastContact.Load()))
+	return time.Duration(boottime.Now().UnixNano() - p.lastContact.Load())
 }
 
 // patience is how long nothing may arrive from the agent before it counts as
--- a/entry/server.go
+++ b/entry/server.go
@@ -17,6 +17,7 @@
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/burn"
 	"sandbarrow.example/sandbarrow/config"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/logging"
 )
 
@@ -94,7 +95,7 @@
 }
 
 func (e *Entry) serveCaller(ctx *fasthttp.RequestCtx, path string) {
-	r := &request{ctx: ctx, id: newRequestID(), started: time.Now(), view: e.follower.View()}
+	r := &request{ctx: ctx, id: newRequestID(), started: boottime.Now(), view: e.follower.View()}
 	if refusal := e.identify(r); refusal != nil {
 		e.refuse(r, refusal)
 		return
@@ -133,7 +134,7 @@
 	if refusal := e.readHeaders(r); refusal != nil {
 		return refusal
 	}
-	if ok, wait := e.limits.Admit(r.started, r.caller.Class); !ok {
+	if ok, wait := e.limits.Admit(time.Now(), r.caller.Class); !ok {
 		return sandbarrow.NotRun(sandbarrow.ReasonRateLimit, "class "+string(r.caller.Class)+" is over its limit", wait)
 	}
 	return nil
@@ -265,7 +266,7 @@
 
 // countFirst records the time of the first part of an answer.
 func (e *Entry) countFirst(r *request) {
-	took := time.Since(r.started)
+	took := boottime.Since(r.started)
 	e.metrics.added.Observe(took.Seconds())
 	if aim := time.Duration(r.class.Objective.FirstToken); aim > 0 {
 		e.tracker.Record(time.Now(), r.caller.Class, burn.ObjectiveFirstToken, took <= aim)
--- a/estate/confirm.go
+++ b/estate/confirm.go
@@ -7,13 +7,14 @@
 	"github.com/juju/errors"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 )
 
 // This file keeps until when the table in force is known to be the newest one, for those
 // who must not act on a table that operators have replaced, as by withdrawing a key.
 //
 // A time of confirmation is that at which the question was sent, on this process's
-// monotonic clock: the store may have answered at any moment since, and an answer may be
+// clock that counts suspensions: the store may have answered at any moment since, and an answer may be
 // held up for seconds. Between processes it passes as an age, in the answer to a question.
 
 // Reader reads one key of the platform's store as it is now.
@@ -34,7 +35,7 @@
 // ConfirmFrom asks the store which table is the newest one, and puts it in force. A watch
 // would not do: one may hear nothing for a while before its history is dropped.
 func (e *Estate) ConfirmFrom(ctx context.Context, r Reader) error {
-	asked := time.Now()
+	asked := boottime.Now()
 	item, err := r.Get(ctx, e.documents.TableKey())
 	if err != nil {
 		return errors.Annotate(err, "confirm the configuration")
--- a/estate/confirm_test.go
+++ b/estate/confirm_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 )
 
 // reader is a store of one key.
@@ -25,10 +26,10 @@
 func TestConfirmFrom(t *testing.T) {
 	e := newEstate()
 	r := &reader{item: sandbarrow.Item{Revision: 3, Value: []byte("7")}}
-	before := time.Now()
+	before := boottime.Now()
 	assert.NilError(t, e.ConfirmFrom(t.Context(), r))
 	confirmed, table := e.Confirmed()
-	assert.Assert(t, !confirmed.Before(before) && !confirmed.After(time.Now()))
+	assert.Assert(t, !confirmed.Before(before) && !confirmed.After(boottime.Now()))
 	assert.Equal(t, table, sandbarrow.StoreRevision(3))
 	assert.Equal(t, e.View().Table.Version, uint64(7), "what is read is put in force")
 	r.err = errors.New("down")
--- a/gateway/authenticate.go
+++ b/gateway/authenticate.go
@@ -2,9 +2,9 @@
 
 import (
 	"net/http"
-	"time"
 
 	"sandbarrow.example/sandbarrow/access"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 )
 
 // authenticate finds the workspace that the caller speaks for, where the configuration
@@ -15,7 +15,7 @@
 	if keys == nil || c.route.Public {
 		return true
 	}
-	if !c.gateway.trusts(time.Now()) {
+	if !c.gateway.trusts(boottime.Now()) {
 		c.refuse(http.StatusServiceUnavailable, reasonStale)
 		return false
 	}
@@ -40,7 +40,7 @@
 	if c.workspace == nil {
 		return ""
 	}
-	if !c.gateway.trusts(time.Now()) {
+	if !c.gateway.trusts(boottime.Now()) {
 		return reasonStale
 	}
 	view := c.gateway.estate.View()
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -9,6 +9,7 @@
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/crash"
 	"sandbarrow.example/sandbarrow/estate"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/internal/pause"
 	"sandbarrow.example/sandbarrow/route"
 )
@@ -122,14 +123,14 @@
 // awaitView returns the operators' state; right after a start it waits for it, and until it
 // is known to be the newest, for viewWait at most. It returns nil where there is none.
 func (g *Gateway) awaitView(ctx context.Context) *estate.View {
-	began := time.Now()
+	began := boottime.Now()
 	for {
 		view := g.estate.View()
 		known := view != nil && g.directory.View() != nil
 		if known && (g.trusts(began) || began.Sub(g.started) > startTime) {
 			return view
 		}
-		if time.Since(began) > viewWait || ctx.Err() != nil {
+		if boottime.Since(began) > viewWait || ctx.Err() != nil {
 			if known {
 				return view
 			}
--- a/gateway/callerrequest.go
+++ b/gateway/callerrequest.go
@@ -15,6 +15,7 @@
 	"sandbarrow.example/sandbarrow/crash"
 	"sandbarrow.example/sandbarrow/estate"
 	"sandbarrow.example/sandbarrow/forward"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/promptcache"
 	"sandbarrow.example/sandbarrow/route"
 )
@@ -63,17 +64,17 @@
 
 // begin notes that the request has come.
 func (r *callerRequest) begin(q *http.Request) {
-	r.began, r.request = time.Now(), q
+	r.began, r.request = boottime.Now(), q
 }
 
 // elapsed is how long ago the request came.
 func (r *callerRequest) elapsed() time.Duration {
-	return time.Since(r.began)
+	return boottime.Since(r.began)
 }
 
 // left is how long it is until the call ends.
 func (r *callerRequest) left() time.Duration {
-	return time.Until(r.ends)
+	return boottime.Until(r.ends)
 }
 
 // prepare reads the request and checks it. On a fault it answers and returns false.
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 )
 
 // need is what the choice of an engine depends on, of one request.
@@ -27,7 +28,7 @@
 func (g *Gateway) chooseEngine(c *call, excluded map[sandbarrow.InstanceID]bool) *candidate {
 	scratch := candidates.Get().(*[]candidate)
 	defer candidates.Put(scratch)
-	now := time.Now()
+	now := boottime.Now()
 	list := g.eligible(c, now, excluded, (*scratch)[:0])
 	*scratch = list
 	n := need{key: c.key, version: c.version, tokens: c.tokens, loads: g.weights.choice, movePerToken: c.service.Engine.MovePerToken, untilObjective: c.untilObjective()}
--- a/gateway/choose_test.go
+++ b/gateway/choose_test.go
@@ -11,6 +11,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/promptcache"
 	"sandbarrow.example/sandbarrow/route"
 )
@@ -26,7 +27,7 @@
 		text := fmt.Sprintf(`{"Address":"%s:80","ID":"e%d","Service":"%s"}`, host, i, testEngines)
 		items = append(items, sandbarrow.KeyItem{Key: fmt.Sprintf("up/e%d", i), Revision: 1, Value: []byte(text)})
 		s.Models = []sandbarrow.BaseModelID{testModel}
-		g.engines.links[host+":"] = &controllerLink{gateway: g, linkState: linkState{lastContact: time.Now().Add(time.Hour), rpc: &jsonrpc2.Conn{}, status: s}}
+		g.engines.links[host+":"] = &controllerLink{gateway: g, linkState: linkState{lastContact: boottime.Now().Add(time.Hour), rpc: &jsonrpc2.Conn{}, status: s}}
 	}
 	g.directory.Replace(items, 1)
 	return g
@@ -34,7 +35,7 @@
 
 func callFor(g *Gateway, adapter string, tokens int) *call {
 	return &call{gateway: g, callerRequest: callerRequest{
-		began: time.Now(), key: sandbarrow.AdapterKey{Adapter: sandbarrow.AdapterID(adapter), Model: testModel},
+		began: boottime.Now(), key: sandbarrow.AdapterKey{Adapter: sandbarrow.AdapterID(adapter), Model: testModel},
 		route: &route.Route{Objective: time.Second}, service: &route.Service{ID: testEngines, Engine: &route.Engine{}}, tokens: tokens,
 	}}
 }
--- a/gateway/controllerlink.go
+++ b/gateway/controllerlink.go
@@ -15,6 +15,7 @@
 	"sandbarrow.example/sandbarrow/directory"
 	"sandbarrow.example/sandbarrow/enginelink"
 	"sandbarrow.example/sandbarrow/forward"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/internal/pause"
 	"sandbarrow.example/sandbarrow/wire"
 )
@@ -94,7 +95,7 @@
 			return
 		case <-time.After(enginelink.Heartbeat):
 		}
-		if !l.up(time.Now()) {
+		if !l.up(boottime.Now()) {
 			l.lost("silent")
 			return
 		}
--- a/gateway/crashsync.go
+++ b/gateway/crashsync.go
@@ -13,6 +13,7 @@
 
 	"sandbarrow.example/sandbarrow/enginelink"
 	"sandbarrow.example/sandbarrow/forward"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/internal/pause"
 	"sandbarrow.example/sandbarrow/wire"
 )
@@ -89,7 +90,7 @@
 		return
 	}
 	told := map[*jsonrpc2.Conn]uint64{}
-	for _, l := range s.relays(time.Now()) {
+	for _, l := range s.relays(boottime.Now()) {
 		rpc := l.connection()
 		if rpc == nil {
 			continue
@@ -107,7 +108,7 @@
 // controller is linked. One that knows nothing asks too: it may have started after the
 // others were told.
 func (s *crashSync) tellPeers(ctx context.Context) {
-	if s.gateway.engines.anyUp() || time.Since(s.gateway.started) < crashPeersAfter {
+	if s.gateway.engines.anyUp() || boottime.Since(s.gateway.started) < crashPeersAfter {
 		return
 	}
 	var group errgroup.Group
--- a/gateway/crashsync_test.go
+++ b/gateway/crashsync_test.go
@@ -14,6 +14,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/crash"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/route"
 	"sandbarrow.example/sandbarrow/store"
 )
@@ -23,7 +24,7 @@
 // noteFatal notes so many ends of upstreams under one request at a gateway.
 func noteFatal(g *Gateway, ends int) {
 	for i := range ends {
-		g.crashes.Note(sandbarrow.InstanceID(fmt.Sprint("u", i)), time.Now(), fatalPrint)
+		g.crashes.Note(sandbarrow.InstanceID(fmt.Sprint("u", i)), boottime.Now(), fatalPrint)
 	}
 }
 
@@ -56,7 +57,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	first := f.addGateway(ctx, t, func(*Config) {})
-	eventually(t, func() bool { return len(first.engines.upLinks(time.Now())) == 3 })
+	eventually(t, func() bool { return len(first.engines.upLinks(boottime.Now())) == 3 })
 	noteFatal(first, 3)
 	began := time.Now()
 	eventually(t, func() bool { return f.gateway.crashes.Judge(fatalPrint).Refused })
@@ -68,7 +69,7 @@
 	later := f.addGateway(t.Context(), t, func(c *Config) { c.Store, c.Peers = downStore{}, []string{peers.Addr().String()} })
 	eventually(t, func() bool { return later.crashes.Judge(fatalPrint).Refused })
 	told := false
-	for _, l := range later.engines.upLinks(time.Now()) {
+	for _, l := range later.engines.upLinks(boottime.Now()) {
 		records, _ := later.crashes.Since(0, l)
 		told = told || len(records) == 0
 	}
@@ -90,7 +91,7 @@
 	a, b := lone("a"), lone("b")
 	noteFatal(a, 2)
 	eventually(t, func() bool { return b.crashes.Judge(fatalPrint).Ends == 2 })
-	b.crashes.Note("u9", time.Now(), fatalPrint)
+	b.crashes.Note("u9", boottime.Now(), fatalPrint)
 	eventually(t, func() bool { return a.crashes.Judge(fatalPrint).Refused })
 	c := lone("c")
 	eventually(t, func() bool { return c.crashes.Judge(fatalPrint).Refused })
@@ -128,7 +129,7 @@
 	c.request, _ = http.NewRequest(http.MethodPost, f.url+"/p/x", nil)
 	c.request.Host, c.request.RequestURI, c.body = testHost, "/p/x", []byte("body")
 	for i := range 3 {
-		f.gateway.crashes.Note(sandbarrow.InstanceID(fmt.Sprint("u", i)), time.Now(), c.fingerprint())
+		f.gateway.crashes.Note(sandbarrow.InstanceID(fmt.Sprint("u", i)), boottime.Now(), c.fingerprint())
 	}
 	got := f.send(t.Context(), http.MethodPost, "/p/x", nil)
 	assert.Equal(t, got.status, http.StatusServiceUnavailable)
--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -11,6 +11,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/directory"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/internal/pause"
 	"sandbarrow.example/sandbarrow/readspeed"
 )
@@ -94,7 +95,7 @@
 // isolated reports whether most links that were up are down: then it is this
 // gateway that is cut off, and callers fare better at another.
 func (e *engines) isolated() bool {
-	now := time.Now()
+	now := boottime.Now()
 	known, down := 0, 0
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -119,7 +120,7 @@
 // gateways is how many gateways there are, as the controllers see them; 0 while
 // no controller is linked.
 func (e *engines) gateways() int {
-	now := time.Now()
+	now := boottime.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	most := 0
@@ -151,7 +152,7 @@
 
 // anyUp reports whether any link is up.
 func (e *engines) anyUp() bool {
-	now := time.Now()
+	now := boottime.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, l := range e.links {
@@ -195,7 +196,7 @@
 		}
 	}
 	for address, l := range e.links {
-		if !wanted[address] && !l.up(time.Now()) {
+		if !wanted[address] && !l.up(boottime.Now()) {
 			l.cancel()
 			delete(e.links, address)
 			e.roster.Store(nil)
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -25,6 +25,7 @@
 	"sandbarrow.example/sandbarrow/controller"
 	"sandbarrow.example/sandbarrow/estate"
 	"sandbarrow.example/sandbarrow/internal/await"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/quota"
 	"sandbarrow.example/sandbarrow/route"
 	"sandbarrow.example/sandbarrow/store"
@@ -385,7 +386,7 @@
 // linked reports whether the gateway has a status of each engine.
 func (f *fleet) linked() bool {
 	for _, in := range f.gateway.directory.View().Service(testEngines) {
-		if s, up := f.gateway.engines.link(in.Address).lastStatus(time.Now()); !up || s.Free <= 0 {
+		if s, up := f.gateway.engines.link(in.Address).lastStatus(boottime.Now()); !up || s.Free <= 0 {
 			return false
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,6 +35,7 @@
 	"sandbarrow.example/sandbarrow/directory"
 	"sandbarrow.example/sandbarrow/estate"
 	"sandbarrow.example/sandbarrow/forward"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/prefixwatch"
 	"sandbarrow.example/sandbarrow/retry"
 )
@@ -113,13 +114,13 @@
 	g := &Gateway{
 		budgets:   map[sandbarrow.ServiceID]*retry.Budget{},
 		config:    c,
-		crashes:   crash.NewLog(time.Now),
+		crashes:   crash.NewLog(boottime.Now),
 		directory: directory.New(c.Instances, c.Logger),
 		estate:    estate.New(c.Documents, c.Logger),
 		health:    newHealth(),
 		logger:    c.Logger,
 		metrics:   newMetrics(c.Metrics),
-		started:   time.Now(),
+		started:   boottime.Now(),
 		pools:     map[sandbarrow.InstanceID]*forward.Pool{},
 		weights:   newWeightStore(),
 	}
@@ -146,7 +147,7 @@
 
 // Ready reports whether the balancer may send new connections.
 func (g *Gateway) Ready() bool {
-	return g.stopping.Load() == nil && g.estate.View() != nil && g.directory.View() != nil && !g.engines.isolated() && g.trusts(time.Now())
+	return g.stopping.Load() == nil && g.estate.View() != nil && g.directory.View() != nil && !g.engines.isolated() && g.trusts(boottime.Now())
 }
 
 // Run serves callers on listener until ctx ends and a planned stop is over.
@@ -195,7 +196,7 @@
 // after a start while new ones are listed one after the other, or while a
 // service has none.
 func (g *Gateway) awaitsUpstreams() bool {
-	if time.Since(g.started) < startTime && time.Since(g.directory.LastNew()) < listingTime {
+	if boottime.Since(g.started) < startTime && boottime.Since(g.directory.LastNew()) < listingTime {
 		return true
 	}
 	view := g.estate.View()
--- a/gateway/health.go
+++ b/gateway/health.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/internal/decay"
 )
 
@@ -67,7 +68,7 @@
 	defer h.mu.Unlock()
 	u := h.of(id)
 	u.inFlight--
-	now := time.Now()
+	now := boottime.Now()
 	share := u.share(now) * (1 - failureWeight)
 	if failed {
 		share += failureWeight
--- a/gateway/linkstate.go
+++ b/gateway/linkstate.go
@@ -8,6 +8,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/promptcache"
 	"sandbarrow.example/sandbarrow/readspeed"
 	"sandbarrow.example/sandbarrow/recall"
@@ -92,7 +93,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return time.Since(l.lastContact)
+	return boottime.Since(l.lastContact)
 }
 
 // lastStatus returns the last status, and whether the link is usable.
@@ -175,7 +176,7 @@
 			}
 		}
 	})
-	l.status, l.lastContact, l.countedTokens = s, time.Now(), l.ownTokens
+	l.status, l.lastContact, l.countedTokens = s, boottime.Now(), l.ownTokens
 	return s, before
 }
 
@@ -183,7 +184,7 @@
 // one is forgotten until it is reported anew: the engine may have restarted meanwhile, with
 // other weights. The engine's speed and the fencing token outlive that.
 func (l *linkState) reconnect(rpc *jsonrpc2.Conn) {
-	l.rpc, l.lastContact = rpc, time.Now()
+	l.rpc, l.lastContact = rpc, boottime.Now()
 	l.kept = promptcache.Mirror{}
 	l.status = enginelink.Status{Loads: l.status.Loads, Speed: l.status.Speed, Token: l.status.Token}
 }
--- a/gateway/listwatch.go
+++ b/gateway/listwatch.go
@@ -8,6 +8,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/prefixwatch"
 )
 
@@ -48,7 +49,7 @@
 
 // anyRPC returns the connection of any link that is up, or nil.
 func (e *engines) anyRPC() *jsonrpc2.Conn {
-	now := time.Now()
+	now := boottime.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, l := range e.links {
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -18,6 +18,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/route"
 )
 
@@ -114,19 +115,19 @@
 	g.estate.Update([]sandbarrow.KeyItem{{Key: "op/table", Revision: 1, Value: []byte("{}")}}, 1)
 	g.directory.Replace(nil, 1)
 	for _, address := range []string{"a", "b", "c", "d", "e"} {
-		g.engines.links[address] = &controllerLink{gateway: g, linkState: linkState{lastContact: time.Now(), rpc: &jsonrpc2.Conn{}}}
+		g.engines.links[address] = &controllerLink{gateway: g, linkState: linkState{lastContact: boottime.Now(), rpc: &jsonrpc2.Conn{}}}
 	}
 	assert.Assert(t, g.Ready())
 	silence := func(addresses ...string) {
 		for _, a := range addresses {
-			g.engines.links[a].lastContact = time.Now().Add(-2 * enginelink.HeartbeatTimeout)
+			g.engines.links[a].lastContact = boottime.Now().Add(-2 * enginelink.HeartbeatTimeout)
 		}
 	}
 	silence("a", "b", "c")
 	assert.Assert(t, g.Ready())
 	silence("d")
 	assert.Assert(t, !g.Ready())
-	g.engines.links["a"].lastContact = time.Now()
+	g.engines.links["a"].lastContact = boottime.Now()
 	assert.Assert(t, g.Ready())
 }
 
@@ -136,7 +137,7 @@
 	g := newLoneGateway()
 	assert.Equal(t, g.retryBurst(), float64(unknownBurst))
 	status := enginelink.Status{Gateways: 10, Models: []sandbarrow.BaseModelID{testModel}}
-	g.engines.links["a"] = &controllerLink{gateway: g, linkState: linkState{lastContact: time.Now(), rpc: &jsonrpc2.Conn{}, status: status}}
+	g.engines.links["a"] = &controllerLink{gateway: g, linkState: linkState{lastContact: boottime.Now(), rpc: &jsonrpc2.Conn{}, status: status}}
 	assert.Assert(t, math.Abs(g.retryBurst()-4.2) < 1e-9)
 	taken := 0
 	b := g.budget("s")
@@ -157,7 +158,7 @@
 func TestManyGatewaysMayRepeat(t *testing.T) {
 	g := newLoneGateway()
 	status := enginelink.Status{Gateways: 1000, Models: []sandbarrow.BaseModelID{testModel}}
-	g.engines.links["a"] = &controllerLink{gateway: g, linkState: linkState{lastContact: time.Now(), rpc: &jsonrpc2.Conn{}, status: status}}
+	g.engines.links["a"] = &controllerLink{gateway: g, linkState: linkState{lastContact: boottime.Now(), rpc: &jsonrpc2.Conn{}, status: status}}
 	for range 100 {
 		g.budget("s").Request()
 	}
--- a/gateway/priority_test.go
+++ b/gateway/priority_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"sandbarrow.example/sandbarrow/access"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/route"
 )
 
@@ -27,7 +28,7 @@
 		"an urgent route's late ones": {1, 6000, 2 * time.Second, false, 5},
 	} {
 		c := call{callerRequest: callerRequest{
-			began: time.Now().Add(-tc.waited), tokens: tc.tokens, route: &route.Route{Objective: time.Second, Priority: tc.priority},
+			began: boottime.Now().Add(-tc.waited), tokens: tc.tokens, route: &route.Route{Objective: time.Second, Priority: tc.priority},
 		}, streamState: streamState{committed: tc.begun}}
 		assert.Equal(t, c.enginePriority(), tc.want, name)
 	}
--- a/gateway/progress.go
+++ b/gateway/progress.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/readspeed"
 )
 
@@ -90,7 +91,7 @@
 		case <-ctx.Done():
 			return
 		}
-		status, linked := e.link.lastStatus(time.Now())
+		status, linked := e.link.lastStatus(boottime.Now())
 		if p.pause() > longestPause(p.begun.Load(), e.link.waitingTokens(c.priority()), statusSpeed(&status), linked && status.EngineUnreachable) {
 			cancel(errStalled)
 			return
--- a/gateway/promptmove.go
+++ b/gateway/promptmove.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 )
 
 // This file decides when an engine takes what another one keeps of a prompt, in place of
@@ -165,7 +166,7 @@
 	switch {
 	case granted != s.weights:
 		return moveWeights
-	case s.link.keeps(time.Now(), s.instance, c, granted) < leastMoved:
+	case s.link.keeps(boottime.Now(), s.instance, c, granted) < leastMoved:
 		return moveSource
 	}
 	return moveSent
--- a/gateway/promptmove_test.go
+++ b/gateway/promptmove_test.go
@@ -11,6 +11,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/promptcache"
 	"sandbarrow.example/sandbarrow/readspeed"
 )
@@ -137,12 +138,12 @@
 	s.Speed = readspeed.Speed{Base: time.Millisecond, PerToken: time.Microsecond}
 	s.Token = 41
 	link.applyStatus(s)
-	before := link.view(time.Now(), c)
+	before := link.view(boottime.Now(), c)
 	assert.Assert(t, before.linked && before.kept > 0)
 	link.mu.Lock()
 	link.reconnect(&jsonrpc2.Conn{})
 	link.mu.Unlock()
-	after := link.view(time.Now(), c)
+	after := link.view(boottime.Now(), c)
 	assert.Assert(t, !after.linked && after.kept == 0)
 	assert.DeepEqual(t, after.status, enginelink.Status{Loads: s.Loads, Speed: s.Speed, Token: s.Token})
 }
@@ -208,7 +209,7 @@
 		"the source keeps less": {func(_ *call, _ *candidate, l *controllerLink) { l.applyKept(&enginelink.Kept{All: true}) }, moveSource},
 		"the source's controller is silent": {func(_ *call, _ *candidate, l *controllerLink) {
 			l.mu.Lock()
-			l.lastContact = time.Now().Add(-enginelink.HeartbeatTimeout)
+			l.lastContact = boottime.Now().Add(-enginelink.HeartbeatTimeout)
 			l.mu.Unlock()
 		}, moveSource},
 		"the source's controller is linked anew": {func(_ *call, _ *candidate, l *controllerLink) {
--- a/gateway/quotaleads.go
+++ b/gateway/quotaleads.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/internal/pause"
 	"sandbarrow.example/sandbarrow/quota"
 )
@@ -85,7 +86,7 @@
 
 // leader returns the controller that leads a shard, with its term, or nil.
 func (q *quotaLeads) leader(s quota.Shard) (*controllerLink, quota.Term) {
-	now := time.Now()
+	now := boottime.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	lead := &q.byShard[s]
@@ -104,7 +105,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if lead := &q.byShard[s]; lead.term == term {
-		lead.suspect = time.Now()
+		lead.suspect = boottime.Now()
 	}
 }
 
@@ -130,7 +131,7 @@
 // nominate asks a controller to lead, for each shard in use that has no usable leader. All
 // gateways ask the same one first, so that few compete.
 func (q *quotaLeads) nominate(ctx context.Context) {
-	now := time.Now()
+	now := boottime.Now()
 	links := q.gateway.engines.upLinks(now)
 	if len(links) == 0 {
 		return
@@ -150,7 +151,7 @@
 
 // linksSettled reports whether the links that are up are most of those that will be.
 func (g *Gateway) linksSettled(up int) bool {
-	if time.Since(g.directory.LastNew()) < settledAfter {
+	if boottime.Since(g.directory.LastNew()) < settledAfter {
 		return false
 	}
 	known := g.engines.count()
--- a/gateway/serveplain.go
+++ b/gateway/serveplain.go
@@ -10,6 +10,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/forward"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/route"
 )
 
@@ -123,7 +124,7 @@
 // Inputs: this gateway's requests in flight there for each slot, the penalty for
 // recent failures, and the failure domain. The load from other gateways is not known.
 func (g *Gateway) choosePlain(c *call, excluded map[sandbarrow.InstanceID]bool) *sandbarrow.Instance {
-	now := time.Now()
+	now := boottime.Now()
 	var best *sandbarrow.Instance
 	var bestCost time.Duration
 	for _, in := range g.directory.View().Service(c.service.ID) {
--- a/gateway/takequota.go
+++ b/gateway/takequota.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/internal/pause"
 	"sandbarrow.example/sandbarrow/quota"
 )
@@ -131,13 +132,13 @@
 	ctx, cancel := context.WithTimeout(ctx, quotaTimeout)
 	defer cancel()
 	c.quota.asks, c.quota.term = c.quota.asks+1, term
-	asked := time.Now()
+	asked := boottime.Now()
 	err := rpc.Call(ctx, enginelink.MethodTake, enginelink.Take{Shard: shard, Units: c.quota.units, Workspace: c.workspace.ID}, &taken)
 	c.quota.taken = taken
 	if err != nil || taken.NotLeading {
 		c.gateway.leads.doubt(shard, term)
 		return taken, false
 	}
-	late := taken.Granted && time.Since(asked) >= time.Duration(taken.LifeMS)*time.Millisecond
+	late := taken.Granted && boottime.Since(asked) >= time.Duration(taken.LifeMS)*time.Millisecond
 	return taken, !late
 }
--- a/gateway/trust.go
+++ b/gateway/trust.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/internal/pause"
 )
 
@@ -61,7 +62,7 @@
 		return nil
 	}
 	confirmed, _ := g.estate.Confirmed()
-	return []slog.Attr{slog.Int64("confirmed_ms", time.Since(confirmed).Milliseconds())}
+	return []slog.Attr{slog.Int64("confirmed_ms", boottime.Since(confirmed).Milliseconds())}
 }
 
 // stateAttributes describe how new the operators' state is by which a request had no route:
@@ -107,7 +108,7 @@
 	if confirmed.IsZero() {
 		return -1
 	}
-	return time.Since(confirmed).Seconds()
+	return boottime.Since(confirmed).Seconds()
 }
 
 // confirmLoop keeps the configuration confirmed until ctx ends.
@@ -124,7 +125,7 @@
 // confirm asks whether the configuration is the newest, where that is due.
 func (g *Gateway) confirm(ctx context.Context) {
 	confirmed, _ := g.estate.Confirmed()
-	age := time.Since(confirmed)
+	age := boottime.Since(confirmed)
 	if age < confirmAfter {
 		return
 	}
--- a/gateway/unreportedpin_test.go
+++ b/gateway/unreportedpin_test.go
@@ -11,6 +11,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/wire"
 )
 
@@ -55,7 +56,7 @@
 	t.Helper()
 	q := callFor(c.link.gateway, "a", 100)
 	q.id, q.ends = "1", q.began.Add(time.Second)
-	e := &candidate{instance: &sandbarrow.Instance{ID: "e0"}, link: c.link, linkView: c.link.view(time.Now(), q)}
+	e := &candidate{instance: &sandbarrow.Instance{ID: "e0"}, link: c.link, linkView: c.link.view(boottime.Now(), q)}
 	assert.Assert(t, !e.linked)
 	_, granted := q.acquire(t.Context(), e, 100*time.Millisecond)
 	assert.Assert(t, granted)
@@ -79,9 +80,9 @@
 	l := &controllerLink{gateway: chooserOf(t)}
 	c := linkedTo(t, l)
 	assert.NilError(t, c.rpc.Notify(t.Context(), enginelink.MethodStatus, statusOf(oldWeights)))
-	eventually(t, func() bool { return l.view(time.Now(), callFor(l.gateway, "a", 1)).linked })
+	eventually(t, func() bool { return l.view(boottime.Now(), callFor(l.gateway, "a", 1)).linked })
 	l.mu.Lock()
-	l.lastContact = time.Now().Add(-enginelink.HeartbeatTimeout) // the last status is old, the connection still there
+	l.lastContact = boottime.Now().Add(-enginelink.HeartbeatTimeout) // the last status is old, the connection still there
 	l.mu.Unlock()
 	c.send(t)
 	assert.NilError(t, c.rpc.Notify(t.Context(), enginelink.MethodStatus, statusOf(oldWeights)))
--- a/gateway/upstreamend.go
+++ b/gateway/upstreamend.go
@@ -13,6 +13,7 @@
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/crash"
 	"sandbarrow.example/sandbarrow/forward"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/internal/pause"
 )
 
@@ -166,7 +167,7 @@
 func (u *upstreamEnds) logEnded(l *endLook, b brokenAttempt) {
 	u.gateway.logger.LogAttrs(context.Background(), slog.LevelWarn, "upstream ended",
 		slog.String("upstream", string(l.instance.ID)), slog.String("evidence", string(l.evidence)), slog.String("request", string(b.request)),
-		slog.String("fingerprint", b.print.String()), slog.Int64("broken_ms", time.Since(b.at).Milliseconds()))
+		slog.String("fingerprint", b.print.String()), slog.Int64("broken_ms", boottime.Since(b.at).Milliseconds()))
 }
 
 // dialForEnd dials an upstream: where nothing listens any more, the process has ended. No
@@ -189,7 +190,7 @@
 	if listed := u.gateway.directory.View().At(in.Address); listed != nil && !listed.ID.Is(in.ID) {
 		return endReplaced
 	}
-	status, linked := u.gateway.engines.link(in.Address).lastStatus(time.Now())
+	status, linked := u.gateway.engines.link(in.Address).lastStatus(boottime.Now())
 	if linked && status.Instance != "" && !status.Instance.Is(in.ID) {
 		return endRestarted
 	}
@@ -207,7 +208,7 @@
 	if listed := c.gateway.directory.View().At(in.Address); listed != nil && listed.ID == in.ID && listed.Draining {
 		return
 	}
-	dialled := c.gateway.ends.broke(in, brokenAttempt{at: time.Now(), print: c.fingerprint(), request: sandbarrow.RequestID(c.id)})
+	dialled := c.gateway.ends.broke(in, brokenAttempt{at: boottime.Now(), print: c.fingerprint(), request: sandbarrow.RequestID(c.id)})
 	select {
 	case <-dialled:
 	case <-time.After(endWait):
--- a/gateway/workspace_test.go
+++ b/gateway/workspace_test.go
@@ -14,6 +14,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/access"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/quota"
 	"sandbarrow.example/sandbarrow/route"
 )
@@ -207,7 +208,7 @@
 	assert.Equal(t, f.send(t.Context(), http.MethodPost, "/p/x", withKey("red-key")).status, http.StatusOK)
 	u.cut.Store(true)
 	began := time.Now()
-	eventually(t, func() bool { return !f.gateway.trusts(time.Now()) })
+	eventually(t, func() bool { return !f.gateway.trusts(boottime.Now()) })
 	assert.Assert(t, time.Since(began) < 2*time.Second, "trusted for %v", time.Since(began))
 	got := f.send(t.Context(), http.MethodPost, "/p/x", withKey("red-key"))
 	assert.Equal(t, got.status, http.StatusServiceUnavailable)
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -15,6 +15,7 @@
 	"github.com/juju/errors"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 )
 
 // State says what a Holder knows of its lease.
@@ -67,7 +68,7 @@
 // Option changes a Holder.
 type Option func(*Holder)
 
-// WithClock replaces time.Now, whose readings must be monotonic.
+// WithClock replaces boottime.Now, whose readings must be monotonic.
 func WithClock(now func() time.Time) Option {
 	return func(h *Holder) { h.now = now }
 }
@@ -90,7 +91,7 @@
 
 // NewHolder returns a holder that has no lease until Run.
 func NewHolder(s sandbarrow.LeaseStore, key string, ttl time.Duration, logger *slog.Logger, options ...Option) *Holder {
-	h := &Holder{key: key, logger: logger, now: time.Now, store: s, ttl: ttl, value: uuid.NewString()}
+	h := &Holder{key: key, logger: logger, now: boottime.Now, store: s, ttl: ttl, value: uuid.NewString()}
 	for _, o := range options {
 		o(h)
 	}
--- a/prefixwatch/prefixwatch.go
+++ b/prefixwatch/prefixwatch.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/internal/pause"
 )
 
@@ -175,7 +176,7 @@
 	if !known {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
-		asked := time.Now()
+		asked := boottime.Now()
 		items, at, err := w.Store.Range(ctx, w.Prefix)
 		if err == nil {
 			w.Consumer.Replace(items, at)
--- a/quota/leader/candidate.go
+++ b/quota/leader/candidate.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/internal/pause"
 	"sandbarrow.example/sandbarrow/lease"
 	"sandbarrow.example/sandbarrow/quota"
@@ -69,7 +70,7 @@
 
 func newCandidate(l *Leader, s quota.Shard) *candidate {
 	holder := lease.NewHolder(l.config.Store, key(s), ttl, l.config.Logger, lease.WithOwner(string(l.config.Box)))
-	return &candidate{holder: holder, leader: l, nominated: time.Now(), shard: s}
+	return &candidate{holder: holder, leader: l, nominated: boottime.Now(), shard: s}
 }
 
 func key(s quota.Shard) string { return keyPrefix + strconv.Itoa(int(s)) }
@@ -78,13 +79,13 @@
 func (c *candidate) nominate() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.nominated = time.Now()
+	c.nominated = boottime.Now()
 }
 
 func (c *candidate) wanted() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return time.Since(c.nominated) < nominationLife
+	return boottime.Since(c.nominated) < nominationLife
 }
 
 // run competes for the shard while it is nominated, and leads it while it holds the lease.
@@ -135,7 +136,7 @@
 		c.term = nil
 	}
 	if c.term == nil && held.State == lease.Held {
-		c.term = &term{granter: quota.NewGranter(c.leader.config.Bound, time.Now()), holder: c.holder, number: held.Token}
+		c.term = &term{granter: quota.NewGranter(c.leader.config.Bound, boottime.Now()), holder: c.holder, number: held.Token}
 		c.leader.begin(c.shard, c.term)
 	}
 }
@@ -143,12 +144,12 @@
 // confirm asks the store which table is the newest one, if this shard's leader does that
 // for all.
 func (c *candidate) confirm(ctx context.Context) {
-	if c.shard != quota.ConfirmShard || time.Since(c.confirmedAt) < confirmPause {
+	if c.shard != quota.ConfirmShard || boottime.Since(c.confirmedAt) < confirmPause {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	c.confirmedAt = time.Now()
+	c.confirmedAt = boottime.Now()
 	if err := c.leader.config.Estate.ConfirmFrom(ctx, c.leader.config.Store); err != nil {
 		c.leader.config.Logger.Info("configuration not confirmed", "error", err.Error())
 	}
--- a/quota/leader/leader.go
+++ b/quota/leader/leader.go
@@ -14,13 +14,13 @@
 	"strconv"
 	"strings"
 	"sync"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
 	"sandbarrow.example/sandbarrow/estate"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/lease"
 	"sandbarrow.example/sandbarrow/quota"
 )
@@ -154,7 +154,7 @@
 func (l *Leader) Take(q *enginelink.Take) enginelink.Taken {
 	// Before the lease is looked at: a process that is frozen in between grants as of a
 	// moment at which it held the lease.
-	now := time.Now()
+	now := boottime.Now()
 	view := l.config.Estate.View()
 	if view == nil {
 		return enginelink.Taken{NotLeading: true}
