--- a/outcome.go
+++ b/outcome.go
@@ -32,12 +32,14 @@
 
 // The reasons of a Refusal.
 const (
-	ReasonAnswerBroken    Reason = "answer-broken"
-	ReasonBadRequest      Reason = "bad-request"
-	ReasonClaimed         Reason = "claimed"
-	ReasonConfiguration   Reason = "configuration"
-	ReasonDeadline        Reason = "deadline"
-	ReasonDraining        Reason = "draining"
+	ReasonAnswerBroken  Reason = "answer-broken"
+	ReasonBadRequest    Reason = "bad-request"
+	ReasonClaimed       Reason = "claimed"
+	ReasonConfiguration Reason = "configuration"
+	ReasonDeadline      Reason = "deadline"
+	ReasonDraining      Reason = "draining"
+	// ReasonEndsUpstreams is a request under which upstreams have ended.
+	ReasonEndsUpstreams   Reason = "ends-upstreams"
 	ReasonIncarnation     Reason = "incarnation"
 	ReasonLoadFailed      Reason = "load-failed"
 	ReasonNoUpstream      Reason = "no-upstream"
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -230,6 +230,9 @@
 		http.Error(w, "model "+strconv.Quote(b.Model)+" is not loaded", http.StatusNotFound)
 		return
 	}
+	if fatal := e.get().Fatal; fatal != "" && fatal == g.tag {
+		e.restart()
+	}
 	if b.Stream {
 		g.serveStream(w, r, 0)
 	} else {
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -16,6 +16,8 @@
 	Down bool `json:"down"`
 	// FailLoads fails as many loads (engine).
 	FailLoads int `json:"fail_loads"`
+	// Fatal restarts the engine whenever a run of that tag begins (engine).
+	Fatal string `json:"fatal"`
 	// HangLoads hangs as many loads until their caller leaves (engine).
 	HangLoads int `json:"hang_loads"`
 	// LoseReplies cuts as many changing calls after they took effect.
