--- a/agent/agent.go
+++ b/agent/agent.go
@@ -17,6 +17,7 @@
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/claim"
 	"sandbarrow.example/sandbarrow/config"
+	"sandbarrow.example/sandbarrow/crash"
 	"sandbarrow.example/sandbarrow/evict"
 	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/lease"
@@ -44,6 +45,7 @@
 	answers     *answerCache
 	budget      sandbarrow.LoadBudget
 	claimer     sandbarrow.Claimer
+	crashes     *crash.Log
 	engine      sandbarrow.Engine // nil for plain services
 	follower    *config.Follower
 	incarnation sandbarrow.Incarnation
@@ -59,8 +61,10 @@
 	mu        sync.Mutex
 	attempts  map[attemptKey]*attempt
 	byTicket  map[*schedule.Ticket]*attempt
+	broken    []brokenRun // since the upstream's last known start
 	conns     map[*connection]struct{}
 	draining  bool
+	ended     lastEnd
 	ordered   time.Time // no order before this time
 	resident  int       // counts changes of the loaded adapters
 	runCtx    context.Context
@@ -86,6 +90,7 @@
 		byTicket:    map[*schedule.Ticket]*attempt{},
 		claimer:     claim.NewStore(st),
 		conns:       map[*connection]struct{}{},
+		crashes:     crash.NewLog(boottime.Now),
 		follower:    config.NewFollower(st, logger),
 		incarnation: sandbarrow.Incarnation(uuid.NewString()),
 		lease:       lease.NewHolder(st, "leases/"+string(u.ID), time.Duration(s.Agent.LeaseTTL), logger),
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -53,8 +53,10 @@
 	done   chan struct{}
 	reply  func(wire.AttemptResult)
 	req    wire.AttemptRequest
-	state  attemptState
-	ticket *schedule.Ticket
+	// startedAt is when its run began.
+	startedAt time.Time
+	state     attemptState
+	ticket    *schedule.Ticket
 	// withdrawn says that it must not start any more.
 	withdrawn bool
 }
@@ -234,7 +236,7 @@
 	if at.withdrawn || at.ctx.Err() != nil {
 		return sandbarrow.NotRun(sandbarrow.ReasonRevoked, "withdrawn before its start", 0)
 	}
-	at.state = attemptStarted
+	at.state, at.startedAt = attemptStarted, boottime.Now()
 	if at.req.OnceID != "" {
 		a.answers.begin(at.req.OnceID)
 	}
@@ -256,6 +258,9 @@
 	if refused && c != nil {
 		a.release(at, *c)
 	}
+	if !refused {
+		a.noteBroken(a.runCtx, at)
+	}
 	if errors.Is(err, sandbarrow.ErrUpstreamNotLoaded) {
 		a.refreshState(a.runCtx)
 		a.forget(at.req.Model)
--- a/agent/connection.go
+++ b/agent/connection.go
@@ -11,6 +11,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/config"
+	"sandbarrow.example/sandbarrow/crash"
 	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/logging"
 	"sandbarrow.example/sandbarrow/wire"
@@ -116,6 +117,13 @@
 		return wire.Later(c.rpc, r, func(q wire.AnswerRequest) any { return c.agent.answer(ctx, q) })
 	case wire.MethodConfigPull:
 		return wire.Later(c.rpc, r, func(q wire.ConfigPull) any { return wire.ReplyTo(q, c.agent.follower.Snapshot()) })
+	case wire.MethodCrashes:
+		var m wire.Crashes
+		if err := wire.Decode(r, &m); err != nil {
+			return nil, err
+		}
+		c.agent.crashes.Merge(c, m.Records)
+		return nil, nil
 	case wire.MethodHello:
 		return c.handleHello(ctx, r)
 	case wire.MethodMark:
@@ -161,6 +169,9 @@
 	c.box = h.Box
 	if !h.Lane {
 		a.conns[c] = struct{}{}
+		go a.crashes.Follow(ctx, c, func(records []crash.Record) error {
+			return c.notify(wire.MethodCrashes, wire.Crashes{Records: records})
+		})
 		go c.pull(ctx, h.Config)
 	}
 	return wire.HelloReply{
--- a/agent/state.go
+++ b/agent/state.go
@@ -116,6 +116,7 @@
 		keepUntil = now.Add(inheritGrace)
 	} else {
 		a.logger.Warn("engine restarted", "start", state.Start, "loaded", len(state.Loaded))
+		a.noteEnd(now)
 	}
 	a.start = state.Start
 	models := make([]sandbarrow.ModelRef, 0, len(state.Loaded))
--- a/controller/gatewaylink.go
+++ b/controller/gatewaylink.go
@@ -5,20 +5,15 @@
 	"encoding/json"
 	"net"
 	"slices"
-	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/crash"
 	"sandbarrow.example/sandbarrow/enginelink"
-	"sandbarrow.example/sandbarrow/internal/pause"
 	"sandbarrow.example/sandbarrow/wire"
 )
 
-// crashPause is the pause after what was told of requests under which upstreams end, so that
-// what one crash brings goes in one message. Estimate, not measured.
-const crashPause = 20 * time.Millisecond
-
 // relayedMost is how many messages of other gateways wait for a slow link. Estimate,
 // not measured: a gateway that misses one reads the list itself.
 const relayedMost = 4
@@ -186,24 +181,11 @@
 }
 
 // tellCrashes tells the gateway what the others have told of requests under which upstreams
-// end: all of it at first, then what changes.
+// end.
 func (l *link) tellCrashes(ctx context.Context) {
-	told := uint64(0)
-	for ctx.Err() == nil {
-		changed := l.controller.crashes.Changed()
-		records, next := l.controller.crashes.Since(told, l)
-		if len(records) > 0 {
-			if err := l.rpc.Notify(ctx, enginelink.MethodCrashes, enginelink.Crashes{Records: records}); err != nil {
-				return
-			}
-		}
-		told = next
-		pause.For(ctx, crashPause)
-		select {
-		case <-changed:
-		case <-ctx.Done():
-		}
-	}
+	l.controller.crashes.Follow(ctx, l, func(records []crash.Record) error {
+		return l.rpc.Notify(ctx, enginelink.MethodCrashes, enginelink.Crashes{Records: records})
+	})
 }
 
 // announceLeads sends which quota shards this process leads, whenever that changes.
--- a/crash/log.go
+++ b/crash/log.go
@@ -232,12 +232,21 @@
 // Since returns what has changed after a number, but for what came from one source, and the
 // next number.
 func (l *Log) Since(sequence uint64, except any) ([]Record, uint64) {
+	return l.since(sequence, func(e *entry) bool { return e.source == nil || e.source != except })
+}
+
+// own is Since without what a single source has told.
+func (l *Log) own(sequence uint64) ([]Record, uint64) {
+	return l.since(sequence, func(e *entry) bool { return e.source == nil })
+}
+
+func (l *Log) since(sequence uint64, wanted func(*entry) bool) ([]Record, uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
 	var records []Record
 	for f, e := range l.entries {
-		if e.sequence > sequence && (e.source == nil || e.source != except) {
+		if e.sequence > sequence && wanted(e) {
 			records = append(records, e.record(f, now))
 		}
 	}
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -61,6 +61,7 @@
 			Stream:      body.Stream,
 			Weights:     resolved.Weights,
 		},
+		caller:   r.caller.ID,
 		deadline: r.deadline,
 		route: sandbarrow.RouteRequest{
 			BaseModel:   resolved.BaseModel,
@@ -116,6 +117,7 @@
 			Priority:    r.class.Priority,
 			Revision:    r.view.Revision,
 		},
+		caller:   r.caller.ID,
 		deadline: r.deadline,
 		route:    sandbarrow.RouteRequest{Service: s.ID, Hash: xxhash.Sum64String(string(r.onceID()))},
 		stream:   newAnswerStream(),
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/crash"
 	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/wire"
 )
@@ -25,7 +26,9 @@
 
 // job is one request of a caller on its way through the entry.
 type job struct {
-	attempt  wire.AttemptRequest
+	attempt wire.AttemptRequest
+	// caller is who asks.
+	caller   sandbarrow.CallerID
 	deadline time.Time
 	route    sandbarrow.RouteRequest
 	stream   *answerStream
@@ -48,6 +51,14 @@
 	return boottime.Until(j.deadline)
 }
 
+// identify gives the request the fingerprint of what it asks for, and for whom: its repeats
+// have the same, at whatever entry.
+func (j *job) identify() {
+	r := &j.attempt
+	fingerprint := crash.NewFingerprint([]byte(r.Method), []byte(r.Path), r.Body, []byte(r.Model.Adapter), []byte(j.caller))
+	r.Fingerprint = &fingerprint
+}
+
 // dispatch makes attempts until one is final, and decides when a request is given up:
 // when no upstream suits, its verdict permits no retry, its deadline is over, the
 // caller has a part of the answer, or the retry budget is spent (but for retries that
@@ -57,9 +68,13 @@
 	defer cancel()
 	e.budget.Request()
 	j.route.Exclude = &sandbarrow.IndexSet{}
+	j.identify()
 	refusal := sandbarrow.NotRun(sandbarrow.ReasonNoUpstream, "no upstream can take the request now", noUpstreamPause)
 	j.attempt.Attempt = 1
 	for range maxAttempts {
+		if v := e.crashes.Judge(*j.attempt.Fingerprint); v.Refused {
+			return wire.AttemptResult{}, worse(refusal, sandbarrow.NotRun(sandbarrow.ReasonEndsUpstreams, "upstreams have ended under this request", v.ForgottenIn))
+		}
 		index, ok := e.chooser.Choose(time.Now(), &j.route)
 		if !ok {
 			return wire.AttemptResult{}, refusal
@@ -67,6 +82,7 @@
 		j.route.Exclude.Add(index)
 		v := e.try(ctx, j, index)
 		if v.refusal == nil {
+			e.crashes.Clear(*j.attempt.Fingerprint)
 			return v.result, nil
 		}
 		refusal = worse(refusal, v.refusal)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,7 +21,9 @@
 	"sandbarrow.example/sandbarrow/burn"
 	"sandbarrow.example/sandbarrow/claim"
 	"sandbarrow.example/sandbarrow/config"
+	"sandbarrow.example/sandbarrow/crash"
 	"sandbarrow.example/sandbarrow/httpserve"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/limit"
 	"sandbarrow.example/sandbarrow/placement"
 	"sandbarrow.example/sandbarrow/retry"
@@ -48,6 +50,7 @@
 	budget       *retry.Budget
 	chooser      sandbarrow.Chooser
 	claimer      sandbarrow.Claimer
+	crashes      *crash.Log
 	fleet        *placement.Fleet
 	follower     *config.Follower
 	limits       *limit.Classes
@@ -79,6 +82,7 @@
 		budget:       retry.NewBudget(s.Entry.RetryShare, maxSavedRetries),
 		chooser:      placement.NewAffinity(fleet),
 		claimer:      claim.NewStore(st),
+		crashes:      crash.NewLog(boottime.Now),
 		fleet:        fleet,
 		follower:     config.NewFollower(st, logger),
 		leaving:      map[sandbarrow.BoxID]bool{},
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/crash"
 	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/logging"
 	"sandbarrow.example/sandbarrow/placement"
@@ -126,6 +127,11 @@
 			ended <- struct{}{}
 		}()
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go p.entry.crashes.FollowOwn(ctx, func(records []crash.Record) error {
+		return p.lanes[0].Notify(ctx, wire.MethodCrashes, wire.Crashes{Records: records})
+	})
 	t := time.NewTicker(wire.Heartbeat)
 	defer t.Stop()
 	marked := time.Now()
@@ -176,6 +182,13 @@
 	switch r.Method {
 	case wire.MethodConfigPull:
 		return wire.Later(p.lanes[0], r, func(q wire.ConfigPull) any { return wire.ReplyTo(q, p.entry.follower.Snapshot()) })
+	case wire.MethodCrashes:
+		var m wire.Crashes
+		if err := wire.Decode(r, &m); err != nil {
+			return nil, err
+		}
+		p.entry.crashes.Merge(p, m.Records)
+		return nil, nil
 	case wire.MethodFrame:
 		var f wire.Frame
 		if err := wire.Decode(r, &f); err != nil {
--- a/entry/server.go
+++ b/entry/server.go
@@ -223,7 +223,7 @@
 
 // refuse ends a request with a problem body.
 func (e *Entry) refuse(r *request, refusal *sandbarrow.Refusal) {
-	if refusal.RetryAfter > 0 {
+	if refusal.RetryAfter > 0 && refusal.Reason != sandbarrow.ReasonEndsUpstreams { // known to the second
 		refusal.RetryAfter = clampRetry(refusal.RetryAfter)
 	}
 	writeProblem(r.ctx, r.id, refusal)
--- a/gateway/crashsync.go
+++ b/gateway/crashsync.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 	"golang.org/x/sync/errgroup"
 
+	"sandbarrow.example/sandbarrow/crash"
 	"sandbarrow.example/sandbarrow/enginelink"
 	"sandbarrow.example/sandbarrow/forward"
 	"sandbarrow.example/sandbarrow/internal/boottime"
@@ -27,9 +28,6 @@
 	// crashRelays is through how many controllers a gateway tells the others: one may be
 	// lost with the box that its engine ran on.
 	crashRelays = 2
-	// crashBatch is the pause after what was told, so that what one end of an upstream brings
-	// goes in one message. Estimate, not measured.
-	crashBatch = 20 * time.Millisecond
 	// crashRetry is after how long what could not be told is told again, and peers are asked
 	// for what they know. Estimate, not measured: a third of the 3 s after which a process
 	// must act on what others know.
@@ -65,7 +63,7 @@
 	for ctx.Err() == nil {
 		changed := g.crashes.Changed()
 		do(ctx)
-		pause.For(ctx, crashBatch)
+		pause.For(ctx, crash.FollowPause)
 		select {
 		case <-changed:
 		case <-time.After(crashRetry):
--- a/gateway/fingerprint.go
+++ b/gateway/fingerprint.go
@@ -15,10 +15,10 @@
 	if c.workspace != nil {
 		workspace = string(c.workspace.ID)
 	}
-	print := crash.NewFingerprint(
+	fingerprint := crash.NewFingerprint(
 		[]byte(c.request.Method), []byte(c.request.Host), []byte(c.request.RequestURI), c.body,
 		[]byte(h.Get(names.Model)), []byte(h.Get(names.Prompt)), []byte(h.Get(names.Tokens)), []byte(workspace),
 	)
-	c.digest = &print
-	return print
+	c.digest = &fingerprint
+	return fingerprint
 }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -6,6 +6,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/config"
+	"sandbarrow.example/sandbarrow/crash"
 )
 
 // The methods between entries and agents.
@@ -16,6 +17,8 @@
 	MethodAttempt = "attempt"
 	// MethodConfigPull asks the peer for its configuration.
 	MethodConfigPull = "config.pull"
+	// MethodCrashes tells under which requests upstreams have ended, either way.
+	MethodCrashes = "crash.records"
 	// MethodFrame carries a part of a streamed answer, agent to entry.
 	MethodFrame = "frame"
 	// MethodHello opens a connection.
@@ -45,6 +48,9 @@
 	ContentType string             `json:"content_type,omitempty"`
 	// DeadlineMS is what is left of the deadline, in milliseconds.
 	DeadlineMS int64 `json:"deadline_ms"`
+	// Fingerprint is that of what the request asks for, the same for its repeats; entries of
+	// an older build leave it out.
+	Fingerprint *crash.Fingerprint `json:"fingerprint,omitempty"`
 	// Handle names the attempt on this connection.
 	Handle      uint64                 `json:"handle"`
 	ID          sandbarrow.RequestID   `json:"id"`
@@ -95,6 +101,11 @@
 	Snapshot config.Snapshot `json:"snapshot"`
 }
 
+// Crashes are requests under which upstreams have ended.
+type Crashes struct {
+	Records []crash.Record `json:"records"`
+}
+
 // Frame is a part of a streamed answer.
 type Frame struct {
 	// ContentType and Status stand in frame 0 alone.
