Log and count which answers name a limit, and what is sent to such an upstream

Now a gateway logs each limit that begins, changes or ends ("limit of an upstream"), writes upstream_limit on the line of a request whose upstream names one, and counts sends to such upstreams (sandbarrow_gateway_limited_sends_total, sandbarrow_gateway_limited_upstreams). Nothing is decided by it yet. The header's name stands in platform alone. Package throttle keeps what is known: by the start of an upstream, bounded, forgotten; the newest word counts, and an answer on its way before a limit began ends none.

Tests of throttle, gateway and platform pass; linters clean.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -36,6 +36,9 @@
 	sent, ran int
 	// chosen is the engine that was asked last, as it was seen when it was chosen.
 	chosen *candidate
+	// limit is what the last upstream that got the request takes of requests a second, where
+	// it names a limit.
+	limit float64
 	// last is the upstream that got the request last.
 	last sandbarrow.InstanceID
 	// acquired is the time spent to pin adapters.
--- a/gateway/calllog.go
+++ b/gateway/calllog.go
@@ -46,6 +46,9 @@
 	if why != "" {
 		attrs = append(attrs, slog.String("reason", string(why)))
 	}
+	if c.limit > 0 {
+		attrs = append(attrs, slog.Float64("upstream_limit", c.limit))
+	}
 	if c.workspace != nil {
 		attrs = append(attrs, slog.String("workspace", string(c.workspace.ID)))
 		attrs = append(attrs, c.quota.attributes()...)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,6 +97,7 @@
 	estate    *estate.Estate
 	health    *health
 	leads     *quotaLeads
+	limits    *upstreamLimits
 	list      *listAnswer
 	logger    *slog.Logger
 	metrics   *metrics
@@ -127,10 +128,14 @@
 	g.engines = newEngines(g)
 	g.ends = newUpstreamEnds(g)
 	g.leads = newQuotaLeads(g)
+	g.limits = newUpstreamLimits(g)
 	c.Metrics.MustRegister(
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "sandbarrow_gateway_entries_refused_total", Help: "Entries in the list of upstreams that named none.",
 		}, func() float64 { return float64(g.directory.Refused()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "sandbarrow_gateway_limited_upstreams", Help: "Upstreams that name a limit on requests in their answers.",
+		}, g.limits.limited),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "sandbarrow_gateway_configuration_revision", Help: "The store's revision of the configuration in force; 0 before the first.",
 		}, g.revisionInForce),
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -9,13 +9,14 @@
 
 // metrics are the gateway's figures.
 type metrics struct {
-	ends     *prometheus.CounterVec
-	first    *prometheus.HistogramVec
-	moves    *prometheus.CounterVec
-	quota    *prometheus.CounterVec
-	requests *prometheus.CounterVec
-	seconds  *prometheus.HistogramVec
-	sent     *prometheus.CounterVec
+	ends         *prometheus.CounterVec
+	first        *prometheus.HistogramVec
+	limitedSends *prometheus.CounterVec
+	moves        *prometheus.CounterVec
+	quota        *prometheus.CounterVec
+	requests     *prometheus.CounterVec
+	seconds      *prometheus.HistogramVec
+	sent         *prometheus.CounterVec
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -27,6 +28,9 @@
 		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "sandbarrow_gateway_first_event_seconds", Help: "Time to the first event of a stream.", Buckets: buckets,
 		}, []string{"service"}),
+		limitedSends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sandbarrow_gateway_limited_sends_total", Help: "Requests given to upstreams that name a limit.",
+		}, []string{"service"}),
 		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sandbarrow_gateway_moves_total", Help: "Moves of prompt memory between engines that were chosen, by what came of them.",
 		}, []string{"outcome"}),
@@ -43,7 +47,7 @@
 			Name: "sandbarrow_gateway_sent_total", Help: "Requests given to upstreams, by service and whether it was the first time.",
 		}, []string{"service", "first"}),
 	}
-	r.MustRegister(m.ends, m.first, m.moves, m.quota, m.requests, m.seconds, m.sent)
+	r.MustRegister(m.ends, m.first, m.limitedSends, m.moves, m.quota, m.requests, m.seconds, m.sent)
 	return m
 }
 
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -221,6 +221,7 @@
 
 // runEngine makes the exchange of one attempt.
 func (c *call) runEngine(ctx context.Context, e *candidate, version sandbarrow.AdapterVersion, p *progress) verdict {
+	sent := c.sentNow(e.instance)
 	a, err := c.gateway.pool(e.instance).Send(ctx, c.upstreamRequest(e.instance, version))
 	if errors.Is(err, forward.ErrNotSent) {
 		return c.end(ctx, verdictNotSent, err)
@@ -231,6 +232,7 @@
 		return c.end(ctx, verdictBroken, err)
 	}
 	defer a.Close()
+	c.gateway.limits.observe(e.instance, sent, a)
 	if c.notRun(a) {
 		_, _ = a.Body(maxAnswerBytes) // read so that the connection can be kept
 		return c.end(ctx, verdictNotRun, errors.Errorf("status %d", a.Status))
--- a/gateway/serveplain.go
+++ b/gateway/serveplain.go
@@ -105,6 +105,7 @@
 
 // exchange makes the exchange of one attempt.
 func (c *call) exchange(ctx context.Context, in *sandbarrow.Instance) (*wholeAnswer, error) {
+	sent := c.sentNow(in)
 	a, err := c.gateway.pool(in).Send(ctx, c.upstreamRequest(in, 0))
 	if !errors.Is(err, forward.ErrNotSent) {
 		c.sent++
@@ -114,6 +115,7 @@
 		return nil, err
 	}
 	defer a.Close()
+	c.gateway.limits.observe(in, sent, a)
 	body, err := a.Body(maxAnswerBytes)
 	if err != nil {
 		return nil, err
