--- a/standin/faults.go
+++ b/standin/faults.go
@@ -20,6 +20,8 @@
 	Fatal string `json:"fatal"`
 	// HangLoads hangs as many loads until their caller leaves (engine).
 	HangLoads int `json:"hang_loads"`
+	// Limit is named as the limit on requests a second in each answer; "" names none.
+	Limit string `json:"limit"`
 	// LoseReplies cuts as many changing calls after they took effect.
 	LoseReplies int `json:"lose_replies"`
 	// Restart empties the engine and cuts what runs, at once.
@@ -80,6 +82,9 @@
 		if f.Down {
 			panic(http.ErrAbortHandler)
 		}
+		if f.Limit != "" {
+			w.Header().Set("Server-Limit", f.Limit)
+		}
 		changes := r.Method != http.MethodGet
 		if changes && s.take(func(f *Faults) *int { return &f.LoseReplies }) {
 			next.ServeHTTP(httptest.NewRecorder(), r)
