Hold the requests to an upstream to the limit that it names on the entry path too

What callers and upstreams saw: the same as on the gateway path, 100 requests in 4 s where 13 are allowed. Cause: the client of the upstream looked at no header, and the agent admitted whatever entries sent. The agent is the only way to its upstream, so it keeps the limit by itself (agent/sendlimit.go): a request that can't be sent now is refused at once as not run, with when one can; the entry tries another agent, at no price, and tells its caller the earliest time. What waited in the queue when the limit was named is asked for at its start, and so is a request on the gateway path whose adapter took its time (renewPermit). A stream that the agent resumes counts. Reports and orders do not, as on the gateway path.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -50,6 +50,7 @@
 	follower    *config.Follower
 	incarnation sandbarrow.Incarnation
 	lease       *lease.Holder
+	limit       *sendLimit
 	list        sandbarrow.BoxList // nil if not set
 	listener    net.Listener
 	logger      *slog.Logger
@@ -94,6 +95,7 @@
 		follower:    config.NewFollower(st, logger),
 		incarnation: sandbarrow.Incarnation(uuid.NewString()),
 		lease:       lease.NewHolder(st, "leases/"+string(u.ID), time.Duration(s.Agent.LeaseTTL), logger),
+		limit:       newSendLimit(u.ID, logger),
 		list:        newBoxList(s),
 		listener:    listener,
 		logger:      logger,
@@ -109,9 +111,9 @@
 		waiting:  make(chan struct{}, 1),
 	}
 	a.metrics = newMetrics(registry, a)
-	a.upstream = upstream.NewService(u.URL)
+	a.upstream = upstream.NewService(u.URL, a.limit)
 	if u.Kind == settings.KindEngine {
-		a.engine = upstream.NewEngine(u.URL, u.MaxRunning)
+		a.engine = upstream.NewEngine(u.URL, u.MaxRunning, a.limit)
 		a.upstream = a.engine
 	}
 	return a, nil
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -49,10 +49,12 @@
 type attempt struct {
 	cancel context.CancelFunc
 	conn   *connection
-	ctx    context.Context
-	done   chan struct{}
-	reply  func(wire.AttemptResult)
-	req    wire.AttemptRequest
+	// counted says that its send was taken from the upstream's limit, sent that it came about.
+	counted, sent bool
+	ctx           context.Context
+	done          chan struct{}
+	reply         func(wire.AttemptResult)
+	req           wire.AttemptRequest
 	// startedAt is when its run began.
 	startedAt time.Time
 	state     attemptState
@@ -100,6 +102,11 @@
 	case at.req.DeadlineMS <= 0:
 		return sandbarrow.NotRun(sandbarrow.ReasonDeadline, "the deadline has passed", 0)
 	}
+	admission := a.limit.admit(now)
+	if !admission.Granted {
+		return admission.refusal()
+	}
+	at.counted = admission.counted
 	at.ticket = &schedule.Ticket{
 		Arrived:     now,
 		Deadline:    now.Add(wire.Duration(at.req.DeadlineMS)),
@@ -108,7 +115,11 @@
 		Priority:    at.req.Priority,
 		Weights:     at.req.Weights,
 	}
-	return a.scheduler.Submit(now, at.ticket)
+	err := a.scheduler.Submit(now, at.ticket)
+	if err != nil && at.counted {
+		a.limit.unused()
+	}
+	return err
 }
 
 // endWaiting ends an attempt whose ticket has left the queue. The caller holds mu.
@@ -126,6 +137,9 @@
 		return
 	}
 	at.state = attemptEnded
+	if at.counted && !at.sent {
+		a.limit.unused()
+	}
 	at.cancel()
 	delete(a.attempts, at.key())
 	delete(a.byTicket, at.ticket)
@@ -236,7 +250,16 @@
 	if at.withdrawn || at.ctx.Err() != nil {
 		return sandbarrow.NotRun(sandbarrow.ReasonRevoked, "withdrawn before its start", 0)
 	}
-	at.state, at.startedAt = attemptStarted, boottime.Now()
+	now := boottime.Now()
+	if !at.counted {
+		// The limit may have been named while it waited.
+		admission := a.limit.admit(now)
+		if !admission.Granted {
+			return admission.refusal()
+		}
+		at.counted = admission.counted
+	}
+	at.state, at.startedAt, at.sent = attemptStarted, now, true
 	if at.req.OnceID != "" {
 		a.answers.begin(at.req.OnceID)
 	}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -102,11 +102,16 @@
 }
 
 // worse keeps the refusal that promises less: once an attempt may have run, no
-// later attempt makes the request not run.
+// later attempt makes the request not run. Of upstreams that take no more now, the one that
+// takes a request first says when to come back.
 func worse(before, now *sandbarrow.Refusal) *sandbarrow.Refusal {
 	if before.Outcome == sandbarrow.OutcomeUnknown && now.Outcome == sandbarrow.OutcomeNotRun {
 		return before
 	}
+	both := before.Reason == sandbarrow.ReasonUpstreamLimit && now.Reason == before.Reason
+	if both && before.RetryAfter < now.RetryAfter {
+		return before
+	}
 	return now
 }
 
@@ -141,7 +146,8 @@
 // judge decides what an agent's refusal means for the request.
 //
 // Inputs: the refusal's reason and outcome, and whether the request is once-only. A
-// draining or replaced agent costs nothing and is retried elsewhere; a deadline or a
+// draining or replaced agent, or one whose upstream takes no more, costs nothing and is retried
+// elsewhere; a deadline or a
 // store that does not answer is the same elsewhere. Otherwise a request is retried
 // when it did not run, or may run twice.
 func judge(j *job, result wire.AttemptResult) verdict {
@@ -153,7 +159,7 @@
 	}
 	v := verdict{refusal: refusal}
 	switch refusal.Reason {
-	case sandbarrow.ReasonDraining, sandbarrow.ReasonIncarnation:
+	case sandbarrow.ReasonDraining, sandbarrow.ReasonIncarnation, sandbarrow.ReasonUpstreamLimit:
 		v.free, v.retry = true, true
 	case sandbarrow.ReasonDeadline, sandbarrow.ReasonStore:
 		// Another agent asks the same store.
--- a/gateway/limitedcall.go
+++ b/gateway/limitedcall.go
@@ -56,6 +56,15 @@
 	return permit, granted
 }
 
+// renewPermit asks for a send where the upstream has named a limit since it was permitted: the
+// call may have waited long for its adapter.
+func (c *call) renewPermit(ctx context.Context, in *sandbarrow.Instance, p *sendPermit) (*sendPermit, bool) {
+	if p.limits != nil {
+		return p, true
+	}
+	return c.permitSend(ctx, in)
+}
+
 // sentNow notes that the request leaves for an upstream, and returns when.
 func (c *call) sentNow(in *sandbarrow.Instance) time.Time {
 	limit, limited := c.gateway.limits.inForce(in.ID)
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -52,14 +52,8 @@
 			c.refuse(http.StatusServiceUnavailable, reasonOverload)
 			return
 		}
-		permit, granted := c.permitSend(ctx, e.instance)
-		if !granted {
-			s.excluded[e.instance.ID] = true
-			continue
-		}
-		version, pinned := c.pinAt(ctx, &s, e)
-		if !pinned {
-			permit.unused()
+		version, permit, reserved := c.reserve(ctx, &s, e)
+		if !reserved {
 			continue
 		}
 		if s.why = c.mayAttempt(); s.why != "" {
@@ -74,6 +68,26 @@
 	c.endSearch(ctx, s.why)
 }
 
+// reserve takes what a send to an engine needs: a permit where the engine names a limit, and
+// the adapter's pin. It returns false, with nothing kept, where either is not to be had.
+func (c *call) reserve(ctx context.Context, s *engineSearch, e *candidate) (sandbarrow.AdapterVersion, *sendPermit, bool) {
+	permit, granted := c.permitSend(ctx, e.instance)
+	if !granted {
+		s.excluded[e.instance.ID] = true
+		return 0, nil, false
+	}
+	version, pinned := c.pinAt(ctx, s, e)
+	if !pinned {
+		permit.unused()
+		return 0, nil, false
+	}
+	if permit, granted = c.renewPermit(ctx, e.instance, permit); !granted {
+		c.unpin(e)
+		return 0, nil, false
+	}
+	return version, permit, true
+}
+
 // mayAttempt returns why the request may not be sent to one more engine; "" where it may.
 func (c *call) mayAttempt() reason {
 	if why := c.barred(); why != "" {
--- a/outcome.go
+++ b/outcome.go
@@ -52,6 +52,8 @@
 	ReasonUnauthenticated Reason = "unauthenticated"
 	ReasonUnknownModel    Reason = "unknown-model"
 	ReasonUpstream        Reason = "upstream"
+	// ReasonUpstreamLimit is a request for which the upstreams have had what they take.
+	ReasonUpstreamLimit Reason = "upstream-limit"
 )
 
 // Error returns the refusal as one line.
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -16,13 +16,14 @@
 // Engine is a model engine that speaks the OpenAI API with the widely used
 // endpoints to load and unload LoRA adapters.
 type Engine struct {
-	base   string
-	client *http.Client
+	base     string
+	client   *http.Client
+	observer sandbarrow.SendObserver
 }
 
-// NewEngine returns the engine at a base URL.
-func NewEngine(base string, maxRunning int) *Engine {
-	return &Engine{base: base, client: newClient(maxRunning + 8)}
+// NewEngine returns the engine at a base URL; o is told of the answers to runs.
+func NewEngine(base string, maxRunning int, o sandbarrow.SendObserver) *Engine {
+	return &Engine{base: base, client: newClient(maxRunning + 8), observer: o}
 }
 
 // Load orders the engine to load an adapter version.
@@ -42,7 +43,7 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(requestIDHeader, string(j.ID))
-	resp, err := e.client.Do(req)
+	resp, err := do(e.client, req, e.observer)
 	if err != nil {
 		return transportError(err)
 	}
--- a/upstream/enginestream.go
+++ b/upstream/enginestream.go
@@ -62,7 +62,8 @@
 		return errors.Annotate(sandbarrow.ErrUpstreamBroken, err.Error())
 	}
 	req.Header.Set("Last-Event-ID", es.lastID)
-	resp, err := e.client.Do(req)
+	e.observer.Resumed()
+	resp, err := do(e.client, req, e.observer)
 	if err != nil {
 		return transportError(err)
 	}
--- a/upstream/httpcall.go
+++ b/upstream/httpcall.go
@@ -10,12 +10,16 @@
 	"github.com/juju/errors"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/internal/httpcall"
 )
 
 // requestIDHeader carries the request's id to the upstream.
 const requestIDHeader = "X-Request-Id"
 
+// limitHeader names, in an answer, how many requests a second the upstream takes.
+const limitHeader = "Server-Limit"
+
 // maxErrorBytes bounds what is read of an error answer. Estimate, not measured.
 const maxErrorBytes = 4 << 10
 
@@ -56,6 +60,17 @@
 	return errors.Annotate(sandbarrow.ErrUpstreamUnknown, err.Error())
 }
 
+// do makes a call and tells the observer of its answer.
+func do(client *http.Client, req *http.Request, o sandbarrow.SendObserver) (*http.Response, error) {
+	sent := boottime.Now()
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	o.Answered(sent, resp.StatusCode, resp.Header.Get(limitHeader))
+	return resp, nil
+}
+
 func readError(resp *http.Response) string {
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes)) // a cut text still helps
 	return string(text)
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -10,14 +10,15 @@
 
 // Service is a plain service. It has no adapters.
 type Service struct {
-	base   string
-	client *http.Client
+	base     string
+	client   *http.Client
+	observer sandbarrow.SendObserver
 }
 
-// NewService returns the service at a base URL. It opens a connection for each
+// NewService returns the service at a base URL; o is told of its answers. It opens a connection for each
 // call, since a call lost on a reused one can't be told from one that ran.
-func NewService(base string) *Service {
-	return &Service{base: base, client: &http.Client{Transport: &http.Transport{
+func NewService(base string, o sandbarrow.SendObserver) *Service {
+	return &Service{base: base, observer: o, client: &http.Client{Transport: &http.Transport{
 		DisableCompression: true,
 		DisableKeepAlives:  true,
 	}}}
@@ -33,7 +34,7 @@
 		req.Header.Set("Content-Type", j.ContentType)
 	}
 	req.Header.Set(requestIDHeader, string(j.ID))
-	resp, err := s.client.Do(req)
+	resp, err := do(s.client, req, s.observer)
 	if err != nil {
 		return transportError(err)
 	}
