--- a/agent/agent.go
+++ b/agent/agent.go
@@ -32,10 +32,9 @@
 const (
 	// agingStep is the waiting time that one step of priority is worth.
 	agingStep = 5 * time.Second
-	// maxQueued bounds the waiting requests of one agent. Estimate, not measured.
+	// maxQueued bounds the waiting requests of one agent.
 	maxQueued = 4096
 	// tick is the pause between looks at deadlines, holds and the load budget.
-	// Estimate, not measured.
 	tick = 20 * time.Millisecond
 )
 
--- a/agent/answercache.go
+++ b/agent/answercache.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// keptOverhead is counted for each kept answer beside its body. Estimate, not measured.
+	// keptOverhead is counted for each kept answer beside its body.
 	keptOverhead = 1 << 10
-	// maxKeptBytes bounds the kept answers of once-only requests. Estimate, not measured.
+	// maxKeptBytes bounds the kept answers of once-only requests.
 	maxKeptBytes = 16 << 20
 )
 
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -16,16 +16,12 @@
 
 const (
 	// claimTimeout bounds a claim; after it the request is given up as not run.
-	// Estimate, not measured.
 	claimTimeout = 2 * time.Second
 	// cancelGrace is how long an engine may still run what was cancelled.
-	// Estimate, not measured.
 	cancelGrace = 2 * time.Second
 	// retryPause is what callers are told after a failure that may pass soon.
-	// Estimate, not measured.
 	retryPause = time.Second
-	// tombLife is how long a revoked attempt is remembered; no message is on
-	// its way for that long. Estimate, not measured.
+	// tombLife is how long a revoked attempt is remembered; no message is on its way for that long.
 	tombLife = 10 * time.Minute
 	// attemptSeparator stands between request and attempt in an upstream's request id.
 	attemptSeparator = "."
--- a/agent/connection.go
+++ b/agent/connection.go
@@ -19,15 +19,12 @@
 
 const (
 	// answerWait bounds how long a repeat waits for the first run's end.
-	// Estimate, not measured.
 	answerWait = 60 * time.Second
-	// entryTimeout is the longest pause between messages of an entry: three of
-	// its idle heartbeats. Estimate, not measured.
+	// entryTimeout is the longest pause between messages of an entry: three of its idle heartbeats.
 	entryTimeout = 3 * wire.IdleHeartbeat
-	// pullTimeout bounds a pull of the configuration from a peer. Estimate, not measured.
+	// pullTimeout bounds a pull of the configuration from a peer.
 	pullTimeout = 5 * time.Second
 	// revokeWait bounds how long a revoke waits for a claim to be released.
-	// Estimate, not measured.
 	revokeWait = time.Second
 )
 
--- a/agent/ends.go
+++ b/agent/ends.go
@@ -19,16 +19,15 @@
 // breaks for many reasons, and only the agent beside the upstream knows whether it ended.
 
 const (
-	// brokenLife is how long after it broke a run may turn out to have broken since the
-	// upstream ended: one that crashes is back within some seconds. Estimate, not measured.
+	// brokenLife is how long after it broke a run may turn out to have broken since the upstream
+	// ended: one that crashes is back within some seconds.
 	brokenLife = 10 * time.Second
-	// sameEnd: an upstream that does not listen so soon after an end is the one that ended
-	// then. Estimate, not measured: less than a restart takes.
+	// sameEnd: an upstream that does not listen so soon after an end is the one that ended then:
+	// less than a restart takes.
 	sameEnd = time.Second
 	// mostBroken bounds the runs that are remembered for that; more than run at once.
 	mostBroken = 256
 	// endDialTimeout bounds the look whether the upstream still listens, on the same box.
-	// Estimate, not measured.
 	endDialTimeout = 200 * time.Millisecond
 )
 
--- a/agent/framesink.go
+++ b/agent/framesink.go
@@ -9,7 +9,7 @@
 	"sandbarrow.example/sandbarrow/wire"
 )
 
-// maxAnswerBytes bounds an answer that is held in memory. Estimate, not measured.
+// maxAnswerBytes bounds an answer that is held in memory.
 const maxAnswerBytes = 8 << 20
 
 // frameSink takes an upstream's answer: streamed ones go out frame by frame,
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -13,14 +13,13 @@
 )
 
 const (
-	// loadTimeout bounds a load; an engine may hang. Estimate, not measured.
+	// loadTimeout bounds a load; an engine may hang.
 	loadTimeout = 20 * time.Second
-	// loadPatience is how many times the measured load time a load may take,
-	// but not less than loadTimeoutMin. Estimate, not measured.
-	loadPatience = 8
-	// loadTimeoutMin: estimate, not measured.
+	// loadPatience is how many times the usual load time a load may take, but not less than
+	// loadTimeoutMin.
+	loadPatience   = 8
 	loadTimeoutMin = 2 * time.Second
-	// unloadTimeout bounds an unload. Estimate, not measured.
+	// unloadTimeout bounds an unload.
 	unloadTimeout = 5 * time.Second
 )
 
--- a/agent/state.go
+++ b/agent/state.go
@@ -11,14 +11,12 @@
 
 const (
 	// inheritGrace protects what a previous agent may still be running.
-	// Estimate, not measured.
 	inheritGrace = 10 * time.Second
-	// statePause is the pause between two looks at the engine. Estimate, not measured.
+	// statePause is the pause between two looks at the engine.
 	statePause = 500 * time.Millisecond
-	// stateTimeout bounds one look. Estimate, not measured.
+	// stateTimeout bounds one look.
 	stateTimeout = 2 * time.Second
 	// unreadyAfter is how many looks must fail before new work is refused.
-	// Estimate, not measured.
 	unreadyAfter = 2
 )
 
--- a/agent/stop.go
+++ b/agent/stop.go
@@ -12,11 +12,10 @@
 
 const (
 	// idlePause is the pause between looks whether all work has ended.
-	// Estimate, not measured.
 	idlePause = 20 * time.Millisecond
-	// listPause is the pause between looks at the list of boxes. Estimate, not measured.
+	// listPause is the pause between looks at the list of boxes.
 	listPause = time.Second
-	// settlePause lets the last replies reach the entries. Estimate, not measured.
+	// settlePause lets the last replies reach the entries.
 	settlePause = 200 * time.Millisecond
 )
 
--- a/boxlist/httplist.go
+++ b/boxlist/httplist.go
@@ -13,7 +13,7 @@
 	"sandbarrow.example/sandbarrow/internal/httpcall"
 )
 
-// callTimeout bounds one read of the list. Estimate, not measured.
+// callTimeout bounds one read of the list.
 const callTimeout = time.Second
 
 // HTTP is the platform's list of boxes over HTTP.
--- a/claim/storeclaimer.go
+++ b/claim/storeclaimer.go
@@ -30,17 +30,15 @@
 )
 
 const (
-	// abandonLife is how long a claim without a run is remembered by its token;
-	// no lost write lands after that. Estimate, not measured.
+	// abandonLife is how long a claim without a run is remembered by its token; no lost write lands
+	// after that.
 	abandonLife = 10 * time.Minute
 	// claimTries bounds the rounds against racing writers and lost replies.
-	// Estimate, not measured.
 	claimTries = 6
 	keyPrefix  = "claims/"
 	// releasedSuffix keeps the token of a release apart from its claim's.
 	releasedSuffix = "-released"
 	// leaseSpan is how long processes put new claims under one lease.
-	// Estimate, not measured.
 	leaseSpan = time.Hour
 	// Retention is how long a claim is kept at least: a repeat within a day never runs
 	// again (docs/OPERATIONS.md).
--- a/config/apply.go
+++ b/config/apply.go
@@ -32,9 +32,7 @@
 
 // Store attempts of one step of an apply.
 const (
-	// applyTries: estimate, not measured.
 	applyTries = 5
-	// applyPause: estimate, not measured.
 	applyPause = 200 * time.Millisecond
 )
 
--- a/config/follower.go
+++ b/config/follower.go
@@ -14,8 +14,8 @@
 	"sandbarrow.example/sandbarrow/internal/pause"
 )
 
-// followPause is the mean pause after a failed watch; it is jittered so that
-// boxes do not come back together after an outage. Estimate, not measured.
+// followPause is the mean pause after a failed watch; it is jittered so that boxes do not come back
+// together after an outage.
 const followPause = 500 * time.Millisecond
 
 // ErrReverts is the error of a head that is older than the one in force, or of
--- a/controller/demand.go
+++ b/controller/demand.go
@@ -10,12 +10,10 @@
 )
 
 const (
-	// demandHalfLife is the time in which the memory of past demand halves. Estimate, not
-	// measured here; the agents' rule was measured with 120 s at a tenth of the traffic
-	// (docs/design/placement.md).
+	// demandHalfLife is the time in which the memory of past demand halves here: an engine sees
+	// some ten times the traffic of an agent's, whose memory is longer (docs/design/placement.md).
 	demandHalfLife = 15 * time.Second
-	// rememberedAdapters bounds the history of demand. Estimate, not measured: many
-	// times the slots of an engine.
+	// rememberedAdapters bounds the history of demand: many times the slots of an engine.
 	rememberedAdapters = 512
 )
 
--- a/controller/engineloop.go
+++ b/controller/engineloop.go
@@ -11,19 +11,19 @@
 )
 
 const (
-	// reportTimeout bounds one report and one look at which instance answers.
-	// Estimate, not measured: the engine is on the same box.
+	// reportTimeout bounds one report and one look at which instance answers: the engine is on the
+	// same box.
 	reportTimeout = 400 * time.Millisecond
-	// idlePoll is the pause between two reports while nothing is under way, short
-	// enough to see a drain or a restart in time. Estimate, not measured.
+	// idlePoll is the pause between two reports while nothing is under way, short enough to see a
+	// drain or a restart in time.
 	idlePoll = 250 * time.Millisecond
-	// loadingPoll is the pause while an adapter is being loaded or replaced: short
-	// against a recall (30 ms). Estimate, not measured.
+	// loadingPoll is the pause while an adapter is being loaded or replaced: short against a recall
+	// (30 ms).
 	loadingPoll = 15 * time.Millisecond
-	// unreachablePoll is the pause after a failed report. Estimate, not measured.
+	// unreachablePoll is the pause after a failed report.
 	unreachablePoll = 150 * time.Millisecond
-	// unreachableAfter is how many reports in a row must fail for the engine to count
-	// as unreachable: one alone may be lost. Estimate, not measured.
+	// unreachableAfter is how many reports in a row must fail for the engine to count as
+	// unreachable: one alone may be lost.
 	unreachableAfter = 2
 )
 
--- a/controller/gatewaylink.go
+++ b/controller/gatewaylink.go
@@ -15,8 +15,8 @@
 	"sandbarrow.example/sandbarrow/wire"
 )
 
-// relayedMost is how many messages of other gateways wait for a slow link. Estimate,
-// not measured: a gateway that misses one reads the list itself.
+// relayedMost is how many messages of other gateways wait for a slow link: a gateway that misses
+// one reads the list itself.
 const relayedMost = 4
 
 // link is the connection of one gateway: it speaks the protocol and owns the pins
--- a/controller/loadwindow.go
+++ b/controller/loadwindow.go
@@ -6,9 +6,7 @@
 	"sandbarrow.example/sandbarrow/enginelink"
 )
 
-// The steps of the window, additive both ways (with it and the counting of waiting
-// prompts a day with trouble of the grown address deployment went from 0.511 to 0.585 of
-// worth). None was measured by itself.
+// The steps of the window, additive both ways.
 const (
 	// windowStep is what a load as fast as the fastest adds to the window, in loads.
 	windowStep = 0.5
--- a/controller/nextorder.go
+++ b/controller/nextorder.go
@@ -9,8 +9,8 @@
 	"sandbarrow.example/sandbarrow/enginelink"
 )
 
-// maxLoading is how many adapters an engine loads at the same time. Estimate; the load
-// window bounds them further while there is contention for the weight store.
+// maxLoading is how many adapters an engine loads at the same time. The load window
+// bounds them further while there is contention for the weight store.
 const maxLoading = 4
 
 // nextOrder decides what the engine is ordered to do next: to load the adapter
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -14,11 +14,9 @@
 	// milliseconds; an order without answer holds up those behind it, and the next
 	// report shows what became of it.
 	orderTimeout = 80 * time.Millisecond
-	// conflictPause follows a failed order. Estimate, not measured: the report after
-	// it shows what stands.
+	// conflictPause follows a failed order: the report after it shows what stands.
 	conflictPause = 20 * time.Millisecond
-	// identifyPause follows a failed look at which instance answers. Estimate, not
-	// measured.
+	// identifyPause follows a failed look at which instance answers.
 	identifyPause = 500 * time.Millisecond
 )
 
--- a/controller/pendingload.go
+++ b/controller/pendingload.go
@@ -9,12 +9,9 @@
 )
 
 const (
-	// priorityStep is how much less each lower priority counts in the queue. Estimate with
-	// the queue by value, not measured by itself.
+	// priorityStep is how much less each lower priority counts in the queue.
 	priorityStep = 0.4
-	// lateWorth is the share that a late answer counts. Estimate with the queue by value,
-	// which lifted three plays of a day with trouble of the address deployment from worths
-	// of 0.435, 0.468 and 0.531 to 0.517, 0.519 and 0.574.
+	// lateWorth is the share that a late answer counts.
 	lateWorth = 0.3
 )
 
--- a/controller/publisher.go
+++ b/controller/publisher.go
@@ -13,12 +13,11 @@
 )
 
 const (
-	// publishPause is the shortest time between two statuses. Estimate with the first
-	// version: short against a load (270 ms).
+	// publishPause is the shortest time between two statuses: short against
+	// a load (270 ms).
 	publishPause = 50 * time.Millisecond
 	// publishShare is what each linked gateway adds to that time beyond ten gateways,
-	// so that the statuses that a controller sends in a second are bounded (30,000
-	// messages a second without it at 30 gateways and 55 controllers).
+	// so that the statuses that a controller sends in a second are bounded.
 	publishShare = 5 * time.Millisecond
 )
 
@@ -69,8 +68,8 @@
 // message returns the status for a link that has so many changes of what the engine
 // holds, and the number that it has with it; nil before the first status. readsChanges
 // says that its gateway can put changes together with its last status: an engine under
-// load changes its slots with almost each status. One changed slot of six takes 171 bytes
-// in place of 290 (TestPublisherSendsChanges).
+// load changes its slots with almost each status
+// (TestPublisherSendsChanges).
 func (p *publisher) message(sent uint64, readsChanges bool) (wire.Notification, uint64) {
 	switch {
 	case sent == p.holds:
--- a/controller/reading.go
+++ b/controller/reading.go
@@ -54,9 +54,8 @@
 	return true
 }
 
-// speedStep is by how much the speed must change before gateways are told, as a share:
-// a choice does not turn on less, and each change is a long message to each gateway.
-// Estimate, not measured.
+// speedStep is by how much the speed must change before gateways are told, as a share: a choice
+// does not turn on less, and each change is a long message to each gateway.
 const speedStep = 0.08
 
 // publishedSpeed is the speed that gateways are told: the last one until the estimate
@@ -71,10 +70,9 @@
 	return r.published
 }
 
-// longestRead is how long after its grant a prompt is taken for unread at most: longer
-// than the engines seen read one beside others. A gateway that is frozen or cut off does
-// not report its begin, and must not hold up the prompts of others. Estimate, not
-// measured.
+// longestRead is how long after its grant a prompt is taken for unread at most: longer than the
+// engines seen read one beside others. A gateway that is frozen or cut off does not report its
+// begin, and must not hold up the prompts of others.
 const longestRead = 2 * time.Second
 
 // tokens is how many prompt tokens the engine has yet to read.
--- a/controller/readqueue.go
+++ b/controller/readqueue.go
@@ -26,9 +26,9 @@
 	version sandbarrow.AdapterVersion
 }
 
-// readOrder is the order of prompts that can be read in time: each lower priority goes as
-// much behind, a part of the objectives seen (0.6 to 1 s), so that the least urgent ones
-// are late before others and are served all the same. Estimate, not measured.
+// readOrder is the order of prompts that can be read in time: each lower priority goes as much
+// behind, a part of the objectives seen (0.6 to 1 s), so that the least urgent ones are late before
+// others and are served all the same.
 var readOrder = queueorder.Aged{Step: 300 * time.Millisecond}
 
 // add queues a request for a version of its adapter.
--- a/controller/readwindow.go
+++ b/controller/readwindow.go
@@ -8,20 +8,18 @@
 	mostReadTokens = 64_000
 	// leastReadTokens is the least window: one prompt of middling length.
 	leastReadTokens = 2_500
-	// readCut is what is left of the window after a pause that was too long and came while
-	// the window was nearly full. Estimate, not measured.
+	// readCut is what is left of the window after a pause that was too long and came while the
+	// window was nearly full.
 	readCut = 0.8
 	// weakCut is what is left of it after one that came while the engine had far less to
 	// read, as beside a single long prompt: another bound would not have helped. With
 	// readCut there too the windows of engines that bear 8,000 tokens fell to 3,000.
 	weakCut = 0.9
-	// readGrowth is by how much each ended request lets the window grow while it holds
-	// prompts up. Estimate, not measured: with readCut one pause in forty requests holds
-	// the balance.
+	// readGrowth is by how much each ended request lets the window grow while it holds prompts up:
+	// with readCut one pause in forty requests holds the balance.
 	readGrowth = 0.006
-	// readPause is the time within which further pauses are taken for the same one, and
-	// prompts to read for its cause: the streams of an engine pause together, for some
-	// 0.5 s. Estimate, not measured.
+	// readPause is the time within which further pauses are taken for the same one, and prompts to
+	// read for its cause: the streams of an engine pause together, for some 0.5 s.
 	readPause = 500 * time.Millisecond
 )
 
--- a/controller/token.go
+++ b/controller/token.go
@@ -12,8 +12,7 @@
 	// tokenKeyPrefix is the prefix of the keys whose revision is a fencing token.
 	tokenKeyPrefix = "sandbarrow/token/"
 	// tokenTimeout bounds one write for a token, tokenPause is the pause after a failed
-	// one. Set with the recovery after a loss of all power, when a store that does not
-	// answer took up to 2 s a call.
+	// one: after a loss of all power a store that does not answer takes up to 2 s a call.
 	tokenTimeout = 700 * time.Millisecond
 	tokenPause   = 150 * time.Millisecond
 )
--- a/controller/unreportedpins.go
+++ b/controller/unreportedpins.go
@@ -9,12 +9,11 @@
 // relinkTime is how long after the first gateway the others may take to be linked: a
 // dial that was under way when the network came back (forward.DialTimeout, 0.35 s),
 // the longest pause before the next one (0.225 s), and the way. Longer guards nothing
-// and holds up loads after all processes were killed: at 0.8 s the worst windows of
-// the days with trouble fell by 0.007 ± 0.003 (15 pairs).
+// and holds up loads after all processes were killed.
 const relinkTime = 600 * time.Millisecond
 
-// pinReportTime is how long a gateway's report of its pins takes to arrive once it is
-// linked. Estimate, not measured: the messages follow the connection at once.
+// pinReportTime is how long a gateway's report of its pins takes to arrive once it is linked: the
+// messages follow the connection at once.
 const pinReportTime = 100 * time.Millisecond
 
 // frozenAfter is how long this process must have done nothing for its gateways to have
--- a/crash/follow.go
+++ b/crash/follow.go
@@ -7,8 +7,8 @@
 	"sandbarrow.example/sandbarrow/internal/pause"
 )
 
-// FollowPause is the pause after what was told, so that what one end of an upstream brings
-// goes in one message. Estimate, not measured.
+// FollowPause is the pause after what was told, so that what one end of an upstream brings goes in
+// one message.
 const FollowPause = 20 * time.Millisecond
 
 // Follow tells one listener all that is known, then what changes, until ctx ends or tell
--- a/crash/judge.go
+++ b/crash/judge.go
@@ -16,11 +16,7 @@
 	// themselves: users allow three sends more after the third end, and some are on their way.
 	mostEnds = 5
 	// chanceOfInnocence: a request is refused once the chance that its attempts all met ends
-	// that had nothing to do with it is below that. Of 318,000 innocent requests none was
-	// refused where an attempt met an end with a chance of up to 0.08, with fatal requests
-	// beside or without; where each upstream ends by itself every 3.3 s, and an attempt meets
-	// that with a chance of 0.11 to 0.17, 6 of 161,000 were, none of which had run beside a
-	// fatal one (TestNoInnocentIsRefused, 16 worlds of each kind).
+	// that had nothing to do with it is below that (TestNoInnocentIsRefused).
 	chanceOfInnocence = 1e-4
 	// unsharedEnds: of the ends that count against a request, so many must be ones at which
 	// any other suspect did not run. One that ran beside a fatal request is then refused only
@@ -47,8 +43,7 @@
 // shares any of them, and how many are needed. All are as old as the messages between
 // processes take, some milliseconds, and keepFor at most. An end that it shares with a
 // request that has met as many ends, or more, counts for that one alone; but not beyond
-// mostEnds, else two fatal requests that begin at the same upstreams cover each other (17
-// ends each with three upstreams, in place of 7).
+// mostEnds, else two fatal requests that begin at the same upstreams cover each other.
 func endsUpstreams(own []Crash, rivals [][]Crash, needed int) bool {
 	counted := own
 	for _, rival := range rivals {
--- a/crash/log.go
+++ b/crash/log.go
@@ -17,26 +17,24 @@
 	// nothing to do with, as after a fault of its upstreams that is mended, is served again
 	// after it.
 	keepFor = 10 * time.Minute
-	// mostEntries bounds the requests that are remembered, at some 300 bytes each; those with
-	// the fewest ends give way. Estimate, not measured: a storm of crashes breaks some
-	// hundreds of attempts.
+	// mostEntries bounds the requests that are remembered, at some 300 bytes each; those with the
+	// fewest ends give way: a storm of crashes breaks some hundreds of attempts.
 	mostEntries = 512
 	// mostCrashes bounds the ends that are remembered of one request: some more than are
 	// needed to refuse it.
 	mostCrashes = 12
-	// shareHalfLife is the half-life of the counts of attempts. Estimate, not measured: as
-	// long as a storm of crashes takes.
+	// shareHalfLife is the half-life of the counts of attempts: as long as a storm of crashes
+	// takes.
 	shareHalfLife = 20 * time.Second
 	// besideSlack is how long before the first end under a request others count as beside it.
 	besideSlack = time.Second
 	// forgetPause is the pause between two looks for what is older than keepFor.
 	forgetPause = time.Second
-	// mostRecentEnds bounds the ends that count for the share of attempts. Estimate, not
-	// measured: a storm takes some of them within shareHalfLife.
+	// mostRecentEnds bounds the ends that count for the share of attempts: a storm takes some of
+	// them within shareHalfLife.
 	mostRecentEnds = 128
 	// priorAttempts are assumed to have met no end, so that the first attempts after a start
-	// do not decide alone. With 20, 5 of 38,000 innocent requests were refused at the begin of
-	// a storm, with 5 it were 3 to 4 (TestNoInnocentIsRefused).
+	// do not decide alone; more of them hide the begin of a storm.
 	priorAttempts = 5
 )
 
--- a/directory/lapse.go
+++ b/directory/lapse.go
@@ -8,10 +8,8 @@
 	"sandbarrow.example/sandbarrow/internal/boottime"
 )
 
-// After an outage of the store upstreams may be missing from the list although they
-// live: their leases have lapsed in it, and they list themselves again within a
-// heartbeat. The figures are estimates from the hunted days that lose all power
-// (docs/FINDINGS.md), not measured one by one.
+// After an outage of the store upstreams may be missing from the list although they live: their
+// leases have lapsed in it, and they list themselves again within a heartbeat.
 const (
 	// lapseGrace is how long upstreams that left the list together after an outage
 	// stay in use: more than the two heartbeats of 0.5 s within which they return.
--- a/enginelink/estatesync.go
+++ b/enginelink/estatesync.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	// WatchLead is how long the store's own watch may take to bring what a peer has
-	// announced, so that it is not fetched twice. Estimate, not measured.
+	// WatchLead is how long the store's own watch may take to bring what a peer has announced, so
+	// that it is not fetched twice.
 	WatchLead = 300 * time.Millisecond
-	// fetchTimeout bounds one fetch from a peer. Estimate, not measured.
+	// fetchTimeout bounds one fetch from a peer.
 	fetchTimeout = 2 * time.Second
 )
 
--- a/enginelink/messages.go
+++ b/enginelink/messages.go
@@ -64,15 +64,13 @@
 )
 
 const (
-	// Heartbeat is the longest pause between two statuses. Estimate, not measured: the
-	// same as between entries and agents.
+	// Heartbeat is the longest pause between two statuses: the same as between entries and agents.
 	Heartbeat = 500 * time.Millisecond
 	// HeartbeatTimeout is how long no status may arrive before a controller counts
 	// as unreachable.
 	HeartbeatTimeout = 3 * Heartbeat
-	// LoadPatience is how much longer than its wait a request stays with an engine that is
-	// loading its adapter already: several loads under contention. Estimate, not measured
-	// by itself.
+	// LoadPatience is how much longer than its wait a request stays with an engine that is loading
+	// its adapter already: several loads under contention.
 	LoadPatience = 2 * time.Second
 )
 
--- a/enginelink/waiting.go
+++ b/enginelink/waiting.go
@@ -7,9 +7,7 @@
 const waitingLevels = 4
 
 // overtakenShare is the part of the less urgent prompts that a request waits for all the
-// same: the piece that the engine reads when it arrives. Measured on a day with trouble
-// where 7,700 tokens waited on average, most of them less urgent: first events came
-// 85 ms later, a bit less than half of the 189 ms for all of them.
+// same: the piece that the engine reads when it arrives.
 const overtakenShare = 0.25
 
 // Waiting counts the prompt tokens that an engine has yet to read, by the priority of
--- a/entry/answerstream.go
+++ b/entry/answerstream.go
@@ -9,7 +9,7 @@
 	"sandbarrow.example/sandbarrow/wire"
 )
 
-// maxBufferedBytes is how far a caller may fall behind its answer. Estimate, not measured.
+// maxBufferedBytes is how far a caller may fall behind its answer.
 const maxBufferedBytes = 4 << 20
 
 // The errors of an answerStream.
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -14,13 +14,11 @@
 )
 
 const (
-	// maxAttempts bounds the attempts of one request. Estimate, not measured.
+	// maxAttempts bounds the attempts of one request.
 	maxAttempts = 5
 	// noUpstreamPause is when callers may come back when no upstream is there.
-	// Estimate, not measured.
 	noUpstreamPause = 2 * time.Second
 	// settleTimeout bounds how long a lost once-only attempt is settled.
-	// Estimate, not measured.
 	settleTimeout = 2 * time.Second
 )
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -33,12 +33,11 @@
 
 const (
 	// readTimeout bounds the reading of one request, against slow callers.
-	// Estimate, not measured.
 	readTimeout = 30 * time.Second
-	// writeTimeout bounds the writing of one answer. Estimate, not measured.
+	// writeTimeout bounds the writing of one answer.
 	writeTimeout = 10 * time.Minute
-	// unreadyPause is how long a stopping entry still accepts connections,
-	// until the balancer has seen that it is not ready. Estimate, not measured.
+	// unreadyPause is how long a stopping entry still accepts connections, until the balancer has
+	// seen that it is not ready.
 	unreadyPause = time.Second
 	// maxSavedRetries is how many retries a quiet time can save up (docs/design/
 	// retries.md).
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -19,12 +19,12 @@
 )
 
 const (
-	// dialTimeout bounds the opening of a connection. Estimate, not measured.
+	// dialTimeout bounds the opening of a connection.
 	dialTimeout = time.Second
 	// lanes is the number of connections to one agent. One connection decodes
 	// its messages one by one, which bounds it to about 12,000 requests a second.
 	lanes = 4
-	// revokeTimeout bounds the wait for a revoke's reply. Estimate, not measured.
+	// revokeTimeout bounds the wait for a revoke's reply.
 	revokeTimeout = 1500 * time.Millisecond
 )
 
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -10,9 +10,8 @@
 
 const (
 	// listPause is the mean pause between looks at the list of boxes.
-	// Estimate, not measured.
 	listPause = 500 * time.Millisecond
-	// redialPause is the mean pause after a failed dial. Estimate, not measured.
+	// redialPause is the mean pause after a failed dial.
 	redialPause = 300 * time.Millisecond
 )
 
--- a/entry/server.go
+++ b/entry/server.go
@@ -33,10 +33,9 @@
 )
 
 const (
-	// maxDeadline bounds the deadline that a caller may state. Estimate, not measured.
+	// maxDeadline bounds the deadline that a caller may state.
 	maxDeadline = 10 * time.Minute
 	// maxDrainBytes bounds what is read of a body that is too large.
-	// Estimate, not measured.
 	maxDrainBytes = 64 << 20
 )
 
--- a/evict/cost.go
+++ b/evict/cost.go
@@ -15,7 +15,7 @@
 	Recency time.Duration
 }
 
-// NewCost returns the rule with the defaults that were measured.
+// NewCost returns the rule with its defaults.
 func NewCost() Cost {
 	return Cost{Recency: 4 * time.Minute}
 }
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -14,13 +14,12 @@
 )
 
 const (
-	// syncBodyBytes is the largest body that is written before the answer is read; a
-	// larger one may be answered before it has been read. It fits into a socket's
-	// buffer. Estimate, not measured.
+	// syncBodyBytes is the largest body that is written before the answer is read; a larger one may
+	// be answered before it has been read. It fits into a socket's buffer.
 	syncBodyBytes = 8 << 10
-	// maxEventBytes bounds one event of a stream. Estimate, not measured.
+	// maxEventBytes bounds one event of a stream.
 	maxEventBytes = 1 << 20
-	// maxSurplus is how many answers to others are skipped. Estimate, not measured.
+	// maxSurplus is how many answers to others are skipped.
 	maxSurplus = 3
 )
 
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -18,16 +18,14 @@
 
 const (
 	// DialTimeout bounds a new connection. It is far above a round trip and below the
-	// time after which a lost opening packet is sent again (1 s). Estimate.
+	// time after which a lost opening packet is sent again (1 s).
 	DialTimeout = 350 * time.Millisecond
-	// unackedTimeout ends a connection whose bytes the peer does not confirm. Estimate,
-	// not measured.
+	// unackedTimeout ends a connection whose bytes the peer does not confirm.
 	unackedTimeout = 2 * time.Second
 	// keptIdle bounds how long a connection is idle when the upstream names no time; one
 	// that was closed meanwhile is seen before its next use.
 	keptIdle = 60 * time.Second
-	// idleMargin ends an idle connection before the upstream does: more than a round
-	// trip. Estimate, not measured.
+	// idleMargin ends an idle connection before the upstream does: more than a round trip.
 	idleMargin = 300 * time.Millisecond
 	// readBufferBytes is the read buffer of a connection; events are some 200 bytes.
 	readBufferBytes = 4 << 10
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -120,9 +120,8 @@
 	return true
 }
 
-// viewWait bounds the wait of a request for the gateway's first configuration and list
-// of upstreams after a start. Chosen with the recovery of all gateways at once, not
-// measured by itself.
+// viewWait bounds the wait of a request for the gateway's first configuration and list of upstreams
+// after a start.
 const viewWait = 250 * time.Millisecond
 
 // awaitView returns the operators' state; right after a start it waits for it, and until it
--- a/gateway/callend.go
+++ b/gateway/callend.go
@@ -12,9 +12,7 @@
 )
 
 // retryAfter is when a refused caller may come back, on average, so that refused callers
-// do not come back all at once. Set with early refusal: soon was better than after the
-// expected wait, 0.592 against 0.581 of worth over twelve days
-// (docs/design/platform.md).
+// do not come back all at once. Soon serves them better than after the expected wait.
 const retryAfter = 250 * time.Millisecond
 
 // reason says why a call ended without an upstream's answer.
--- a/gateway/callerrequest.go
+++ b/gateway/callerrequest.go
@@ -21,12 +21,10 @@
 )
 
 const (
-	// maxAnswerBytes bounds an answer that is passed on as a whole, and a body where
-	// the operators name no limit. Estimate, not measured: four times the largest
-	// body limit seen (4 MiB).
+	// maxAnswerBytes bounds an answer that is passed on as a whole, and a body where the operators
+	// name no limit: four times the largest body limit seen (4 MiB).
 	maxAnswerBytes = 16 << 20
-	// defaultTimeout bounds requests where neither caller nor route does. Estimate,
-	// not measured; all routes seen name one.
+	// defaultTimeout bounds requests where neither caller nor route does: all routes seen name one.
 	defaultTimeout = 60 * time.Second
 	// longestDeadline is the largest deadline that a caller may name; a larger one
 	// is malformed.
--- a/gateway/calllog.go
+++ b/gateway/calllog.go
@@ -8,8 +8,7 @@
 	"sandbarrow.example/sandbarrow"
 )
 
-// maxLogged bounds a caller's text in a log line, in bytes: enough to recognise a
-// host or path. Estimate, not measured.
+// maxLogged bounds a caller's text in a log line, in bytes: enough to recognise a host or path.
 const maxLogged = 80
 
 // logAttempt writes a line for an attempt that failed, with the view of the
--- a/gateway/candidate.go
+++ b/gateway/candidate.go
@@ -71,8 +71,7 @@
 }
 
 // isOldInstance reports whether the engine has restarted and the list does not show it
-// yet: it would refuse what names the instance of the list. After a crash of a quarter of
-// the engines 525 of 26,600 requests of a day were sent so, each at the price of a retry.
+// yet: it would refuse what names the instance of the list, at the price of a retry.
 func (e *candidate) isOldInstance() bool {
 	return e.status.Instance != "" && e.status.Instance != e.instance.ID
 }
--- a/gateway/controllerlink.go
+++ b/gateway/controllerlink.go
@@ -21,11 +21,10 @@
 )
 
 const (
-	// redialPause is the mean pause after a failed or lost link. Estimate, not
-	// measured: short against the controller's grace period for pins (0.8 s).
+	// redialPause is the mean pause after a failed or lost link: short against the controller's
+	// grace period for pins (0.8 s).
 	redialPause = 150 * time.Millisecond
-	// acquireSlack is how much longer than its wait an acquire may take, for the
-	// messages' way. Estimate, not measured.
+	// acquireSlack is how much longer than its wait an acquire may take, for the messages' way.
 	acquireSlack = 250 * time.Millisecond
 )
 
--- a/gateway/crashkeeper.go
+++ b/gateway/crashkeeper.go
@@ -19,7 +19,7 @@
 	// that end upstreams: a key for each such request and each gateway that knows it, so
 	// that no write undoes another one.
 	crashPrefix = "sandbarrow/crash/"
-	// crashKeepTimeout bounds one write. Estimate, not measured.
+	// crashKeepTimeout bounds one write.
 	crashKeepTimeout = 700 * time.Millisecond
 	// mostKeptAtOnce is how many keys one write changes: what the platform allows.
 	mostKeptAtOnce = 32
--- a/gateway/crashsync.go
+++ b/gateway/crashsync.go
@@ -26,12 +26,11 @@
 	// crashRelays is through how many controllers a gateway tells the others: one may be
 	// lost with the box that its engine ran on.
 	crashRelays = 2
-	// crashRetry is after how long what could not be told is told again, and peers are asked
-	// for what they know. Estimate, not measured: a third of the 3 s after which a process
-	// must act on what others know.
+	// crashRetry is after how long what could not be told is told again, and peers are asked for
+	// what they know: a third of the 3 s after which a process must act on what others know.
 	crashRetry = time.Second
-	// crashPeersAfter is after how long without any controller peers are asked. Estimate, not
-	// measured: links come up within some 0.3 s of a start.
+	// crashPeersAfter is after how long without any controller peers are asked: links come up
+	// within some 0.3 s of a start.
 	crashPeersAfter = time.Second
 )
 
--- a/gateway/earlyrefusal.go
+++ b/gateway/earlyrefusal.go
@@ -3,13 +3,11 @@
 import "time"
 
 const (
-	// earlyObjectiveParts: a caller is refused early within the first eighth of the
-	// route's objective, while a second attempt can still be in time. Estimate, not
-	// measured by itself.
+	// earlyObjectiveParts: a caller is refused early within the first eighth of the route's
+	// objective, while a second attempt can still be in time.
 	earlyObjectiveParts = 8
-	// earlyPatiencePercent: a caller is refused early only where it waits for at
-	// least this part of the route's timeout, in percent. A caller that waits less
-	// has come back already, or will not. Estimate, not measured by itself.
+	// earlyPatiencePercent: a caller is refused early only where it waits for at least this part of
+	// the route's timeout, in percent. A caller that waits less has come back already, or will not.
 	earlyPatiencePercent = 97
 )
 
@@ -20,8 +18,7 @@
 // Inputs: the best engine as it was seen at the choice, how long the call has
 // waited, the route's objective and timeout, and how long the caller waits in all.
 // Only the want of a slot is refused: a load ends by itself, and refusing for any
-// late answer was worse (worth over twelve days 0.592, against 0.583 for any late
-// answer and 0.5875 without early refusal; docs/design/platform.md).
+// late answer serves fewer callers.
 func refuseEarly(best *candidate, waited, objective, timeout, patience time.Duration) bool {
 	if !best.late || !best.full {
 		return false
--- a/gateway/endsupstreams.go
+++ b/gateway/endsupstreams.go
@@ -13,21 +13,17 @@
 
 // This file asks whether a request is one that ends its upstreams (package crash decides),
 // before it is sent for the first time and before each retry: a broken attempt counts as one
-// that may have run, and the retry budget does not count what callers repeat. Without it one
-// such request, repeated by two callers, ended 61 times one of six upstreams in 9 s, and the
-// other callers were served 502 of 1,013 requests (TestCrashSoak).
+// that may have run, and the retry budget does not count what callers repeat, so that
+// one such request ends upstream after upstream (TestCrashSoak).
 
 const (
 	// suspectFrom is from how many ends on a request waits before it is sent again.
 	suspectFrom = 2
 	// suspectWait bounds the wait after suspectFrom ends, at random; each further end doubles
 	// it. A request that only ran beside a fatal one is then not sent to the next upstream in
-	// the same moment as that one, so that the two are told apart earlier: of six engines a
-	// fatal request ended 5 in place of all, and callers beside it were served 303 of their
-	// requests in 10 s in place of 256 (TestCrashSoak, seed 2).
+	// the same moment as that one, so that the two are told apart earlier.
 	suspectWait = 200 * time.Millisecond
 	// suspectWaitParts: a request waits for one of so many parts of its time at most.
-	// Estimate, not measured.
 	suspectWaitParts = 4
 )
 
--- a/gateway/enginecost.go
+++ b/gateway/enginecost.go
@@ -13,18 +13,17 @@
 // of prices in the same unit. It holds the constants of the choice and the pure
 // functions that use them; choose.go compares the costs.
 
-// Measured properties of the engines, as time, on the users' deployments. How fast an
+// Properties of the engines, as time. How fast an
 // engine reads is learnt (package readspeed), how long a load takes too (loadmodel.go).
 const (
-	// runningDelay is what each running request slows another (the same logs).
+	// runningDelay is what each running request slows another.
 	runningDelay = 3 * time.Millisecond
 	// recallDelay is the time to load an adapter from the engine's own memory: 0.03 s
 	// (docs/design/platform.md), with the order.
 	recallDelay = 40 * time.Millisecond
 	// replaceDelay is the time until the runs on an older version have ended.
-	// Estimate, not measured.
 	replaceDelay = 900 * time.Millisecond
-	// slotDelay is the time until one slot comes free. Estimate, not measured by itself.
+	// slotDelay is the time until one slot comes free.
 	slotDelay = 600 * time.Millisecond
 )
 
@@ -32,12 +31,10 @@
 // as much.
 const (
 	// copyDelay is the price of another copy of an adapter that another engine has: its
-	// slot and its share of the weight store. 1351 copies of 540 adapters became 793 of 598
-	// on a day with trouble of the registre deployment.
+	// slot and its share of the weight store.
 	copyDelay = 500 * time.Millisecond
 	// mostContention bounds how much contention at the weight store raises copyDelay: an
-	// engine that has many requests behind it needs a copy all the same. Without a bound
-	// 134 streams were given up after a loss of power.
+	// engine that has many requests behind it needs a copy all the same, as after a loss of power.
 	mostContention = 2
 	// lateDelay is the price of an answer that is expected to miss its objective: as much
 	// as it loses.
@@ -48,11 +45,10 @@
 	// domainDelay is the price of another failure domain: 4 ms on the way, and bytes of a
 	// stream that are worth 11 ms at the users' prices.
 	domainDelay = 12 * time.Millisecond
-	// blindDelay is the price of not knowing what an engine does whose controller is
-	// not linked. Estimate, not measured.
+	// blindDelay is the price of not knowing what an engine does whose controller is not linked.
 	blindDelay = 250 * time.Millisecond
-	// blindRunningFactor: without a status only this gateway's own requests are
-	// known; each stands for so many. Estimate, not measured.
+	// blindRunningFactor: without a status only this gateway's own requests are known; each stands
+	// for so many.
 	blindRunningFactor = 3
 )
 
--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -17,14 +17,12 @@
 )
 
 const (
-	// enginesPause is the pause between two looks at the list of upstreams. Set with the
-	// recovery after a loss of all power.
+	// enginesPause is the pause between two looks at the list of upstreams.
 	enginesPause = 100 * time.Millisecond
-	// isolatedLeast is how many links must have been up for a gateway to be isolated.
-	// Estimate, not measured: of fewer, all may be down for reasons of their own.
+	// isolatedLeast is how many links must have been up for a gateway to be isolated: of fewer, all
+	// may be down for reasons of their own.
 	isolatedLeast = 3
-	// isolatedDown of isolatedOf links down make a gateway isolated. Estimate, not measured
-	// (two gateways that were cut off refused 300 requests).
+	// isolatedDown of isolatedOf links down make a gateway isolated.
 	isolatedDown = 4
 	isolatedOf   = 5
 )
--- a/gateway/enginesearch.go
+++ b/gateway/enginesearch.go
@@ -9,21 +9,20 @@
 
 const (
 	// maxAcquires is at how many engines a request waits for its adapter. Three waits of
-	// acquireWaits use up the timeout of the routes seen. Estimate, not measured by itself.
+	// acquireWaits use up the timeout of the routes seen.
 	maxAcquires = 3
 	// maxBusy is how often a choice is repeated because more prompts wait at the engine
 	// than was known; after that the choice stands.
 	maxBusy = 2
-	// maxRefusals is how many engines may refuse a request at once, as crashed ones do for
-	// the half second until this gateway knows. Each takes a round trip alone: counted as
-	// waits, they ended 262 of 26,600 requests of a day on which a quarter of the engines
-	// crashed. Estimate, not measured by itself.
+	// maxRefusals is how many engines may refuse a request at once, as crashed ones do for the half
+	// second until this gateway knows. Each takes a round trip alone, so that they do not count
+	// as waits.
 	maxRefusals = 8
 )
 
 // acquireWaits bound the wait for a slot at the first, second and third engine. The
 // first is short so that another engine can still be in time; the last may use what is
-// left (otherwise requests of a calm day waited for seconds at one engine).
+// left.
 var acquireWaits = [maxAcquires]time.Duration{500 * time.Millisecond, 800 * time.Millisecond, 2 * time.Second}
 
 // engineSearch is the state of one call's search for an engine that answers.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,10 +47,9 @@
 	// listingTime is how long after a new upstream others are likely to follow (calls to
 	// the store after a start).
 	listingTime = 700 * time.Millisecond
-	// headerTimeout bounds the arrival of a request's head. Estimate, not measured.
+	// headerTimeout bounds the arrival of a request's head.
 	headerTimeout = 5 * time.Second
-	// idleTimeout bounds how long a caller's connection is idle where the operators
-	// name no time. Estimate, not measured.
+	// idleTimeout bounds how long a caller's connection is idle where the operators name no time.
 	idleTimeout = 60 * time.Second
 	// maxHeaderBytes is the technical bound of a request's head; the operators' limit
 	// is checked too. Four times the limits seen.
--- a/gateway/health.go
+++ b/gateway/health.go
@@ -9,8 +9,7 @@
 	"sandbarrow.example/sandbarrow/internal/decay"
 )
 
-// The weights of failures in the choice of an upstream. All are estimates, not measured
-// by themselves.
+// The weights of failures in the choice of an upstream.
 const (
 	// failureHalfLife is the time in which the memory of failures halves: an upstream
 	// that failed is tried again within seconds.
--- a/gateway/linkstate.go
+++ b/gateway/linkstate.go
@@ -63,8 +63,7 @@
 		waitingTokens: l.waitingTokensLocked(c.priority()),
 	}
 	v.weights = l.status.Weights(c.key)
-	// Most engines have not loaded the adapter and keep nothing for it. Asking them all takes
-	// 45 in place of 32 µs for 160 engines (BenchmarkChooseEngineForPrompt).
+	// Most engines have not loaded the adapter and keep nothing for it (BenchmarkChooseEngineForPrompt).
 	if v.weights.Model > 0 {
 		v.kept = l.kept.Kept(v.weights, c.stretches)
 	}
--- a/gateway/loadmodel.go
+++ b/gateway/loadmodel.go
@@ -16,12 +16,10 @@
 	// contendedLoad is how many times the time alone a load takes at least to show
 	// contention; the controller's look at its engine adds up to 15 ms to 250.
 	contendedLoad = 1.25
-	// carriedGain is how far one contended load moves the estimate of what the store
-	// carries. Estimate, not measured: some ten loads show it, and a crowd brings them
-	// within a second.
+	// carriedGain is how far one contended load moves the estimate of what the store carries: some
+	// ten loads show it, and a crowd brings them within a second.
 	carriedGain = 0.1
 	// aloneGain is how far a load moves the time alone up, while few are under way.
-	// Estimate, not measured.
 	aloneGain = 0.1
 )
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -16,19 +16,17 @@
 )
 
 const (
-	// peerPause is the pause between two rounds of asking peers at a start. Estimate, not
-	// measured.
+	// peerPause is the pause between two rounds of asking peers at a start.
 	peerPause = 200 * time.Millisecond
 	// listTimeout is how long the list may stay unconfirmed before peers are asked: longer
 	// than three reads of the list.
 	listTimeout = 2500 * time.Millisecond
 	// stalePause is the pause between two rounds while the list is unconfirmed.
-	// Estimate, not measured.
 	stalePause = 700 * time.Millisecond
-	// peerStagger is how long one peer has before the next one is asked too: far above a
-	// round trip, below peerTimeout. Estimate, not measured.
+	// peerStagger is how long one peer has before the next one is asked too: far above a round
+	// trip, below peerTimeout.
 	peerStagger = 150 * time.Millisecond
-	// peerTimeout bounds the questions to one peer. Estimate, not measured.
+	// peerTimeout bounds the questions to one peer.
 	peerTimeout = 800 * time.Millisecond
 )
 
--- a/gateway/priority.go
+++ b/gateway/priority.go
@@ -5,10 +5,8 @@
 // lowestPriority is the least urgent priority that an engine knows; 0 is the most.
 const lowestPriority = 9
 
-// tightSlack is the slack below which a request goes before others of its route.
-// Estimate, not measured by itself: the prompts before it at a busy engine take some 0.3
-// to 0.4 s (worth 0.610 to 0.609 and 0.742 to 0.753 on two days with trouble of the grown
-// address deployment).
+// tightSlack is the slack below which a request goes before others of its route: the prompts before
+// it at a busy engine take some 0.3 to 0.4 s.
 const tightSlack = 450 * time.Millisecond
 
 // urgency orders the requests of one priority of the operators' routes by what
--- a/gateway/progress.go
+++ b/gateway/progress.go
@@ -11,8 +11,8 @@
 	"sandbarrow.example/sandbarrow/readspeed"
 )
 
-// How long a stream may make no progress before it is continued at another engine. All
-// are estimates; firstGap grows by the prompts ahead, since streams that waited behind
+// How long a stream may make no progress before it is continued at another engine.
+// firstGap grows by the prompts ahead, since streams that waited behind
 // 5 s of prompts would be given up and read again elsewhere.
 const (
 	// progressPause is the pause between two looks at a stream's progress.
--- a/gateway/promptmove.go
+++ b/gateway/promptmove.go
@@ -12,10 +12,8 @@
 // weights that run is decided here alone.
 
 const (
-	// leastMoved is the least part of a prompt that is worth a move, in tokens: a move
-	// has its price and holds up others between the same engines. Estimate, not measured
-	// by itself; moves of 1,500 tokens and more gained 0.009 ± 0.004 of worth over 15
-	// days with trouble whose prompts share 6,300 tokens.
+	// leastMoved is the least part of a prompt that is worth a move, in tokens: a move has its
+	// price and holds up others between the same engines.
 	leastMoved = 1500
 	// movePrice is the price of moving one token beside its time: memory moved costs the
 	// operators, and both engines' links.
--- a/gateway/quotaleads.go
+++ b/gateway/quotaleads.go
@@ -18,25 +18,23 @@
 )
 
 const (
-	// leadPause is the pause between two looks whether a shard needs a leader; that often
-	// this gateway nominates one. Estimate, not measured.
+	// leadPause is the pause between two looks whether a shard needs a leader; that often this
+	// gateway nominates one.
 	leadPause = 100 * time.Millisecond
-	// nominateFor is how long one controller is nominated before the next one is: many tries
-	// of one that reaches the store, while the lease of a lost leader runs out. Estimate,
-	// not measured.
+	// nominateFor is how long one controller is nominated before the next one is: many tries of one
+	// that reaches the store, while the lease of a lost leader runs out.
 	nominateFor = 2 * time.Second
-	// settleFor is how long nominations wait at most for links that are still coming up after
-	// a start. Without it the first controller that is linked leads all shards, and its
-	// loss is the loss of all of them. Estimate, not measured.
+	// settleFor is how long nominations wait at most for links that are still coming up after a
+	// start. Without it the first controller that is linked leads all shards, and its loss is the
+	// loss of all of them.
 	settleFor = 1500 * time.Millisecond
-	// settledParts: links are settled when all but one of so many parts of the engines'
-	// controllers are linked. Estimate, not measured: some engines may be down.
+	// settledParts: links are settled when all but one of so many parts of the engines' controllers
+	// are linked: some engines may be down.
 	settledParts = 4
-	// settledAfter is how long after a new upstream was listed others may follow. Estimate,
-	// not measured.
+	// settledAfter is how long after a new upstream was listed others may follow.
 	settledAfter = 300 * time.Millisecond
-	// suspectFor is how long a leader that did not answer, or leads no more, is not asked.
-	// Estimate, not measured: it may have its lease back after the next renewal.
+	// suspectFor is how long a leader that did not answer, or leads no more, is not asked: it may
+	// have its lease back after the next renewal.
 	suspectFor = 150 * time.Millisecond
 )
 
--- a/gateway/retrybudget.go
+++ b/gateway/retrybudget.go
@@ -10,17 +10,16 @@
 // gateways together (settings retry_share and retry_slack). Gateways agree on
 // nothing, so each uses its part, less than all of it.
 const (
-	// retrySharePart is the part of the share that is used. At 0.8, 60 streams ended for
-	// want of a retry while a fifth of all answers was lost.
+	// retrySharePart is the part of the share that is used: with less, streams end for
+	// want of a retry while many answers are lost.
 	retrySharePart = 0.95
-	// retrySlackPart is the part of the slack that is used. With less, 45 streams ended
-	// within 2 s of a crash of a quarter of the engines.
+	// retrySlackPart is the part of the slack that is used: with less, streams end right
+	// after a crash of many engines.
 	retrySlackPart = 0.7
 	// retryStartPart is the part of the burst that a gateway starts with: many may restart
 	// at once, and those before them have spent theirs.
 	retryStartPart = 0.4
-	// unknownBurst is the burst while the number of gateways is not known. Estimate, not
-	// measured.
+	// unknownBurst is the burst while the number of gateways is not known.
 	unknownBurst = 2
 )
 
--- a/gateway/retryrule.go
+++ b/gateway/retryrule.go
@@ -12,8 +12,8 @@
 // means for its call, and with which status a call is given up. The rules are pure
 // functions; the budget that bounds retries is in retrybudget.go.
 
-// leastSend is the least time before a call's end in which a request is still
-// sent: less would not suffice for an answer. Estimate, not measured.
+// leastSend is the least time before a call's end in which a request is still sent: less would not
+// suffice for an answer.
 const leastSend = 20 * time.Millisecond
 
 // permission says whether a request may be sent to an upstream.
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -16,10 +16,9 @@
 
 const (
 	// enginesWait bounds the wait for any engine, as after a loss of all power.
-	// Estimate, not measured by itself.
 	enginesWait = 1200 * time.Millisecond
-	// lookPause is the pause between two looks at what is awaited. Estimate, not
-	// measured: short against enginesWait and viewWait.
+	// lookPause is the pause between two looks at what is awaited: short against enginesWait and
+	// viewWait.
 	lookPause = 40 * time.Millisecond
 	// streamMediaType is the type of an answer that is passed on event by event.
 	streamMediaType = "text/event-stream"
--- a/gateway/serveplain.go
+++ b/gateway/serveplain.go
@@ -15,12 +15,11 @@
 )
 
 const (
-	// hedgeObjectives is after how many objectives a repeatable request without an
-	// answer is sent elsewhere. Estimate, not measured: an answer as late as that
-	// has lost its credit.
+	// hedgeObjectives is after how many objectives a repeatable request without an answer is sent
+	// elsewhere: an answer as late as that has lost its credit.
 	hedgeObjectives = 2
-	// serviceDelay is the assumed time of a request at a plain service; it weighs
-	// requests in flight against failures and domains. Estimate, not measured.
+	// serviceDelay is the assumed time of a request at a plain service; it weighs requests in
+	// flight against failures and domains.
 	serviceDelay = 30 * time.Millisecond
 )
 
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -13,8 +13,8 @@
 	// the balancer has surely seen that it is not ready: the balancer's check takes up to
 	// 2.5 s.
 	DefaultAcceptAfterStop = 2600 * time.Millisecond
-	// refuseAfterStop is when a stopping gateway accepts no more streams, which might
-	// not end before it does: right after new connections end. Estimate, not measured.
+	// refuseAfterStop is when a stopping gateway accepts no more streams, which might not end
+	// before it does: right after new connections end.
 	refuseAfterStop = 2800 * time.Millisecond
 	// stopMargin ends a planned stop before the platform kills the process.
 	stopMargin = 500 * time.Millisecond
--- a/gateway/takequota.go
+++ b/gateway/takequota.go
@@ -14,19 +14,17 @@
 )
 
 const (
-	// quotaTimeout bounds one question to a leader: many round trips, short against the
-	// time until another one leads. Estimate, not measured.
+	// quotaTimeout bounds one question to a leader: many round trips, short against the time until
+	// another one leads.
 	quotaTimeout = 300 * time.Millisecond
-	// quotaWait is how long a request waits for a leader: until another one leads after one
-	// was lost. A late answer serves its caller better than a refusal. Estimate, not
-	// measured.
+	// quotaWait is how long a request waits for a leader: until another one leads after one was
+	// lost. A late answer serves its caller better than a refusal.
 	quotaWait = 2 * time.Second
 	// quotaWaitShare: a request waits for one of so many parts of its time at most.
 	quotaWaitShare = 2
-	// quotaPause is the pause between two looks for a leader. Estimate, not measured.
+	// quotaPause is the pause between two looks for a leader.
 	quotaPause = 20 * time.Millisecond
-	// leastQuotaRetry is the least time after which a caller over its limit is told to come
-	// back. Estimate, not measured.
+	// leastQuotaRetry is the least time after which a caller over its limit is told to come back.
 	leastQuotaRetry = 100 * time.Millisecond
 )
 
--- a/gateway/trust.go
+++ b/gateway/trust.go
@@ -14,20 +14,19 @@
 // configuration that it has: a key may have been withdrawn where it can't see it.
 
 const (
-	// trustShare is the share of the operators' bound for which a configuration is trusted
-	// after it was known to be the newest; the rest is for clocks that run at slightly
-	// other speeds. Estimate, not measured.
+	// trustShare is the share of the operators' bound for which a configuration is trusted after it
+	// was known to be the newest; the rest is for clocks that run at slightly other speeds.
 	trustShare = 0.85
-	// confirmPause is the pause between two looks whether a confirmation is due. Estimate,
-	// not measured: short against confirmAfter.
+	// confirmPause is the pause between two looks whether a confirmation is due: short against
+	// confirmAfter.
 	confirmPause = 100 * time.Millisecond
-	// confirmAfter is the age at which a confirmation is asked for anew, of the controller
-	// that keeps one for all. Estimate, not measured: several tries fit into the bound.
+	// confirmAfter is the age at which a confirmation is asked for anew, of the controller that
+	// keeps one for all: several tries fit into the bound.
 	confirmAfter = 700 * time.Millisecond
-	// confirmAlone is the age at which this gateway asks the store itself, since that
-	// controller does not answer or has none. Estimate, not measured.
+	// confirmAlone is the age at which this gateway asks the store itself, since that controller
+	// does not answer or has none.
 	confirmAlone = 1600 * time.Millisecond
-	// confirmTimeout bounds one question. Estimate, not measured.
+	// confirmTimeout bounds one question.
 	confirmTimeout = 500 * time.Millisecond
 )
 
--- a/gateway/upstreamend.go
+++ b/gateway/upstreamend.go
@@ -18,27 +18,25 @@
 )
 
 const (
-	// endWindow is how long after a broken attempt its upstream is watched for signs that
-	// it has ended: one that crashes is back within some seconds, and the list shows that
-	// after a heartbeat more. Estimate, not measured.
+	// endWindow is how long after a broken attempt its upstream is watched for signs that it has
+	// ended: one that crashes is back within some seconds, and the list shows that after a
+	// heartbeat more.
 	endWindow = 10 * time.Second
-	// endPause is the pause between two looks. Estimate, not measured: short against the
-	// time that an upstream takes to be back.
+	// endPause is the pause between two looks: short against the time that an upstream takes to be
+	// back.
 	endPause = 100 * time.Millisecond
-	// aliveWindow is the same where something still listened when the attempt broke: an
-	// upstream that is back at once is listed within that time, and one that ends later has
-	// not ended under the attempt. Estimate, not measured: a heartbeat and the pace of the list.
+	// aliveWindow is the same where something still listened when the attempt broke: an upstream
+	// that is back at once is listed within that time, and one that ends later has not ended under
+	// the attempt: a heartbeat and the pace of the list.
 	aliveWindow = 2 * time.Second
-	// endWait is how long a retry waits for the dial: a round trip to any box, where something
-	// or nothing listens there. A box that is silent says nothing. Estimate, not measured.
+	// endWait is how long a retry waits for the dial: a round trip to any box, where something or
+	// nothing listens there. A box that is silent says nothing.
 	endWait = 60 * time.Millisecond
 	// mostEndLooks bounds the upstreams that wait to be looked at; of more that break at one
 	// moment, some are passed over.
 	mostEndLooks = 256
 	// provenRun: an attempt that has passed events for so long did not end its upstream by
-	// beginning there, which clears its request as an answer does. Ends came 30 to 110 ms
-	// after the beginning in the runs seen. Without that 7 of 17,000 requests, which had
-	// only met crashes, were refused where 0.4 of 51 engines crashed each second.
+	// beginning there, which clears its request as an answer does. Ends come some 0.1 s after the beginning.
 	provenRun = 500 * time.Millisecond
 )
 
--- a/internal/cmd/daemon.go
+++ b/internal/cmd/daemon.go
@@ -22,11 +22,9 @@
 )
 
 const (
-	// storeDialTimeout bounds a new connection to the platform's store. Estimate, not
-	// measured.
+	// storeDialTimeout bounds a new connection to the platform's store.
 	storeDialTimeout = 500 * time.Millisecond
-	// storeIdle is how long an idle connection to the store is kept. Estimate, not
-	// measured.
+	// storeIdle is how long an idle connection to the store is kept.
 	storeIdle = 20 * time.Second
 )
 
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -32,11 +32,10 @@
 )
 
 const (
-	// marginShare is the share of the ttl that a lease ends early here, for
-	// the time that an order is on its way and for clocks that drift.
-	// Estimate, not measured.
+	// marginShare is the share of the ttl that a lease ends early here, for the time that an order
+	// is on its way and for clocks that drift.
 	marginShare = 4
-	// renewShare is the share of the ttl between renewals. Estimate, not measured.
+	// renewShare is the share of the ttl between renewals.
 	renewShare = 3
 )
 
--- a/placement/affinity.go
+++ b/placement/affinity.go
@@ -7,14 +7,14 @@
 )
 
 const (
-	// rankPenalty is what each lower rank costs, in seconds: less than any wait, so that
-	// it only decides between equals. Estimate, not measured.
+	// rankPenalty is what each lower rank costs, in seconds: less than any wait, so that it only
+	// decides between equals.
 	rankPenalty = 0.02
-	// packing is what an empty batch costs at full batch weight, in seconds. Set by the
-	// replay's BenchmarkBatchWeight (docs/design/placement.md).
+	// packing is what an empty batch costs at full batch weight, in seconds (BenchmarkBatchWeight,
+	// docs/design/placement.md).
 	packing = 2.0
 	// assumedLoad and assumedService stand in until an upstream reports them, in
-	// seconds. Estimates: a load took 1 s at both estates of the replay.
+	// seconds.
 	assumedLoad    = 1.0
 	assumedService = 1.0
 )
--- a/placement/ranking.go
+++ b/placement/ranking.go
@@ -9,8 +9,7 @@
 	// maxCached bounds the cached rankings: three times the adapters of the two-year
 	// plan, at 115 bytes each (docs/CAPACITY.md).
 	maxCached = 32768
-	// replicas is the number of upstreams that a model may spread over. Estimate, not
-	// measured.
+	// replicas is the number of upstreams that a model may spread over.
 	replicas = 8
 )
 
--- a/prefixwatch/answertime.go
+++ b/prefixwatch/answertime.go
@@ -13,8 +13,7 @@
 	// DefaultWait and mostSlack. Slower stores than that were not seen; from them, changes
 	// are read that come before a call is given up.
 	mostSlack = time.Second
-	// answerMargin is how many times the last answer's time may be taken: estimate, not
-	// measured.
+	// answerMargin is how many times the last answer's time may be taken:
 	answerMargin = 3
 )
 
--- a/prefixwatch/prefixwatch.go
+++ b/prefixwatch/prefixwatch.go
@@ -20,26 +20,21 @@
 // DefaultWait is the longest wait of one watch of a process alone. A watch whose connection
 // has gone silent, without a reset, hides all changes until it is given up, after the wait
 // and mostSlack: that must be over well within the 3 s after which a process is held to the
-// bound for a change again. With a wait of 3 s and a slack of 1.5 s, changes soon after a
-// silence were in force 3.8 s after their acknowledgement, beyond the bound of 2 s
-// (TestSilentWatchIsGivenUpInTime, TestRouteSoak). Four processes make some 160 calls to the
-// store more in 60 s for that, 0.001 to 0.002 of worth (pairs of days before and after).
+// bound for a change again (TestSilentWatchIsGivenUpInTime, TestRouteSoak).
 const DefaultWait = 1200 * time.Millisecond
 
 const (
-	// readTimeout bounds a read of all of the prefix. Set with the recovery after a loss of
-	// all power, when calls to a store that did not answer took up to 2 s.
+	// readTimeout bounds a read of all of the prefix: after a loss of all power calls to
+	// a store that does not answer take up to 2 s.
 	readTimeout = 900 * time.Millisecond
 	// expectingPace is the shortest time between two watches while Expecting says so.
 	expectingPace = 150 * time.Millisecond
-	// paceSpread: the pace is shortened at random by up to one of so many parts. Estimate,
-	// not measured by itself.
+	// paceSpread: the pace is shortened at random by up to one of so many parts.
 	paceSpread = 3
 	// coveredPause is the pause between two looks whether a watch is still covered.
-	// Estimate, not measured.
 	coveredPause = 500 * time.Millisecond
-	// firstPause and longestPause bound the backoff after a failure, which doubles; many
-	// processes pause for longer (sharedPause). Estimates, not measured.
+	// firstPause and longestPause bound the backoff after a failure, which doubles; many processes
+	// pause for longer (sharedPause).
 	firstPause   = 100 * time.Millisecond
 	longestPause = 800 * time.Millisecond
 )
--- a/prefixwatch/sharedpace.go
+++ b/prefixwatch/sharedpace.go
@@ -11,9 +11,9 @@
 // never ends, another one's next call brings.
 
 const (
-	// sharedWatchPace is how often one of many processes ends a watch and begins the next, so
-	// that a change is seen though all open connections have gone silent. Estimate, not
-	// measured: several times within the bound for a change (3 to 5 s seen).
+	// sharedWatchPace is how often one of many processes ends a watch and begins the next, so that
+	// a change is seen though all open connections have gone silent: several times within the bound
+	// for a change (3 to 5 s seen).
 	sharedWatchPace = 500 * time.Millisecond
 	// fewWatchPace is the same of a few processes, each of which hears a change in time by
 	// itself: up to ten, which wait for mostAlone at most, so that also with mostSlack a
@@ -26,8 +26,8 @@
 	// (TestOneOfManyHearsSoon, five runs each).
 	soonProcesses = 5
 	shortWait     = 200 * time.Millisecond
-	// sharedRetryPace is how often one of the processes tries whether a failed store is
-	// back. Estimate, not measured: below the first pause of a process alone.
+	// sharedRetryPace is how often one of the processes tries whether a failed store is back: below
+	// the first pause of a process alone.
 	sharedRetryPace = 30 * time.Millisecond
 	// mostWait and mostPause bound both, however many processes there are: the store waits
 	// no longer than 30 s, and a process that nobody tells anything is on its own.
--- a/promptcache/memory.go
+++ b/promptcache/memory.go
@@ -6,8 +6,8 @@
 	"sandbarrow.example/sandbarrow"
 )
 
-// loggedChanges bounds the changes that are remembered for readers that lag; one that
-// lags more is told all that is kept. Estimate, not measured: some seconds of an engine.
+// loggedChanges bounds the changes that are remembered for readers that lag; one that lags more is
+// told all that is kept: some seconds of an engine.
 const loggedChanges = 256
 
 // Memory models what one engine keeps: the parts of the prompts that it has read, the
--- a/promptcache/promptcache.go
+++ b/promptcache/promptcache.go
@@ -45,8 +45,7 @@
 
 // leastShared is the least length of the shared parts of a prompt at which it is worth
 // being followed, in tokens: reading less takes some 50 ms at most, and each prompt that
-// is followed is told to all gateways. Prompts that share some 570 tokens gained nothing
-// from it (-0.001 ± 0.004 of worth, 15 pairs of days).
+// is followed is told to all gateways.
 const leastShared = 1000
 
 // Stretches returns the stretches of a prompt for an adapter, the shortest first, from its
--- a/quota/leader/candidate.go
+++ b/quota/leader/candidate.go
@@ -24,14 +24,12 @@
 	// the other part of each limit goes on meanwhile. With 1 s, 105 of 676 requests were
 	// refused in the first two seconds of an outage.
 	ttl = 4 * time.Second
-	// renewPause is the pause between two renewals: several may fail within the three
-	// quarters of ttl. Estimate, not measured.
+	// renewPause is the pause between two renewals: several may fail within the three quarters of
+	// ttl.
 	renewPause = 600 * time.Millisecond
-	// tryPause is the pause between two tries of a candidate. Estimate, not measured: short
-	// against ttl.
+	// tryPause is the pause between two tries of a candidate: short against ttl.
 	tryPause = 120 * time.Millisecond
-	// callTimeout bounds one step at the store. Estimate, not measured: a slow store (60
-	// times 4 ms) answers within it.
+	// callTimeout bounds one step at the store: a slow store (60 times 4 ms) answers within it.
 	callTimeout = 400 * time.Millisecond
 	// nominationLife is how long a candidate tries after its last nomination. Gateways
 	// nominate several times a second while there is no leader.
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -31,9 +31,9 @@
 // Shard names a part of all workspaces, from 0.
 type Shard int
 
-// Shards is the number of shards. Each costs its leader a renewal of its lease every
-// renewal pause, so more of them cost more calls to the store; the fewer there are, the
-// more workspaces wait when a leader is lost. Estimate, not measured.
+// Shards is the number of shards. Each costs its leader a renewal of its lease every renewal pause,
+// so more of them cost more calls to the store; the fewer there are, the more workspaces wait when
+// a leader is lost.
 const Shards Shard = 8
 
 // ConfirmShard is the shard whose leader also keeps the operators' table confirmed as the
@@ -41,10 +41,8 @@
 const ConfirmShard Shard = 0
 
 // Parts is into how many parts a limit is split, each with a leader of its own: where one
-// is lost, the others go on. With one part a workspace had nothing for up to 2 s until
-// another process led, and then for as long again less than it had waited for: of 16
-// workspaces that kept within their limits all were refused after such a loss, 203
-// requests for want of a leader and some 350 by the leader that had begun with nothing.
+// is lost, the others go on. With one part a workspace has nothing for up to 2 s until
+// another process leads, which begins with nothing to grant.
 const Parts = 2
 
 // ShardsOf returns the shards of a workspace's parts, which differ.
@@ -71,8 +69,8 @@
 }
 
 const (
-	// keptShare is the share of what is allowed that is granted; the rest is for clocks
-	// that run at slightly other speeds. Estimate, not measured.
+	// keptShare is the share of what is allowed that is granted; the rest is for clocks that run at
+	// slightly other speeds.
 	keptShare = 0.97
 	// usualLife is how long a grant may be used. A grant is asked for when a request
 	// needs it, so this is a round trip to the leader with a wide margin.
--- a/readspeed/readspeed.go
+++ b/readspeed/readspeed.go
@@ -34,9 +34,8 @@
 var Prior = Speed{Base: 30 * time.Millisecond, PerToken: 40 * time.Microsecond}
 
 const (
-	// gain is how far one answer moves the estimate towards itself: some twenty answers
-	// show that an engine has become five times as slow. Estimate, not measured by
-	// itself.
+	// gain is how far one answer moves the estimate towards itself: some twenty answers show that
+	// an engine has become five times as slow.
 	gain = 0.16
 	// mostSurprise bounds how far one answer counts, as the logarithm of its time over
 	// the time expected (0.7 is a factor of two): with a bound on the logarithm the
--- a/readspeed/toward.go
+++ b/readspeed/toward.go
@@ -4,8 +4,7 @@
 
 // noise is the share by which the estimates of engines that are alike differ: each
 // follows its last dozen answers. Differences up to it are not engines' own and outweigh
-// the price of another failure domain. Leaving them out gained 0.001, 0.003 and 0.003 of
-// worth on three deployments, 15 pairs of days each, all within the error of 0.004.
+// the price of another failure domain.
 const noise = 0.15
 
 // Toward returns the speed without the part of its difference to a typical one that is
--- a/recall/memory.go
+++ b/recall/memory.go
@@ -15,8 +15,8 @@
 	// remembered is how many adapters an engine's own memory is expected to keep beside
 	// its slots, until loads show it. The deployments seen keep 36 and 54.
 	remembered = 30
-	// leastRemembered and mostRemembered bound what loads show. Estimates: one more
-	// adapter costs some hundred bytes.
+	// leastRemembered and mostRemembered bound what loads show; one more adapter costs some
+	// hundred bytes.
 	leastRemembered = 4
 	mostRemembered  = 256
 )
--- a/schedule/demand.go
+++ b/schedule/demand.go
@@ -14,8 +14,7 @@
 	// 900 s were tried: longer ones save a few hundredths of the stalls and take up to
 	// 260 s to recover from a shift of popularity (docs/design/placement.md).
 	demandHalfLife = 120 * time.Second
-	// maxDemands bounds the adapters whose demand is remembered. Estimate, not
-	// measured.
+	// maxDemands bounds the adapters whose demand is remembered.
 	maxDemands = 4096
 )
 
--- a/schedule/estimate.go
+++ b/schedule/estimate.go
@@ -5,10 +5,9 @@
 	"time"
 )
 
-// estimateHalfLife is how fast an estimate that gets no measurements falls back to
-// what is assumed. Without it a high estimate would refuse the very requests that
-// could show that it is out of date (docs/design/queueing.md); the figure itself is an
-// estimate, not measured.
+// estimateHalfLife is how fast an estimate that gets no measurements falls back to what is assumed.
+// Without it a high estimate would refuse the very requests that could show that it is out of date
+// (docs/design/queueing.md).
 const estimateHalfLife = 10 * time.Second
 
 // estimate is a smoothed measurement of a time.
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -9,26 +9,22 @@
 )
 
 const (
-	// batchTarget is the size of a group that ends its wait for a batch. Estimate, not
-	// measured by itself.
+	// batchTarget is the size of a group that ends its wait for a batch.
 	batchTarget = 4
-	// defaultLoad, defaultPace and defaultService are assumed until measured. Pace and
-	// service are assumed fast: a cold start must not refuse a burst before anything was
-	// measured.
+	// defaultLoad, defaultPace and defaultService are assumed until some are seen. Pace and service
+	// are assumed fast: a cold start must not refuse a burst.
 	defaultLoad    = time.Second
 	defaultPace    = 100 * time.Millisecond
 	defaultService = 100 * time.Millisecond
 	// groupBonus is what each further ticket of a group is worth when loads are ordered:
 	// one load serves them all (docs/design/loads.md).
 	groupBonus = time.Second
-	// loadRetryPause is the pause after a failed load of an adapter. Estimate, not
-	// measured.
+	// loadRetryPause is the pause after a failed load of an adapter.
 	loadRetryPause = 2 * time.Second
 	// drainAfter is how long a group waits for an idle adapter to make place before a busy
 	// one is drained for it (docs/design/loads.md).
 	drainAfter = time.Second
-	// loadSmoothing and serviceSmoothing are the weights of a new measurement, from 0
-	// to 1. Estimates, not measured.
+	// loadSmoothing and serviceSmoothing are the weights of a new measurement, from 0 to 1.
 	loadSmoothing    = 0.3
 	serviceSmoothing = 0.1
 )
--- a/schedule/ticket.go
+++ b/schedule/ticket.go
@@ -11,8 +11,8 @@
 	"sandbarrow.example/sandbarrow"
 )
 
-// maxGroupBonus bounds what the size of a group is worth, so that no cold adapter is
-// starved by a popular one. Estimate, not measured.
+// maxGroupBonus bounds what the size of a group is worth, so that no cold adapter is starved by a
+// popular one.
 const maxGroupBonus = 10 * time.Second
 
 // TicketState says how far a ticket has come.
--- a/store/httpstore.go
+++ b/store/httpstore.go
@@ -25,12 +25,12 @@
 	mostWatch  = 8 * time.Second
 )
 
-// callTimeout bounds each call but a watch. Estimate, not measured: the matrix's
-// slow store answers after 0.7 s and must still be heard.
+// callTimeout bounds each call but a watch: the matrix's slow store answers after 0.7 s and must
+// still be heard.
 const callTimeout = time.Second
 
-// idleConnections is how many connections to the store are kept open: an agent's
-// watches, its lease and its claims under way. Estimate, not measured.
+// idleConnections is how many connections to the store are kept open: an agent's watches, its lease
+// and its claims under way.
 const idleConnections = 16
 
 // HTTP is the platform's key-value service over HTTP. It uses net/http, since
--- a/upstream/enginestream.go
+++ b/upstream/enginestream.go
@@ -14,11 +14,10 @@
 )
 
 const (
-	// maxResumes is how often a cut stream is resumed. Estimate, not measured.
+	// maxResumes is how often a cut stream is resumed.
 	maxResumes = 2
-	// maxEventBytes bounds one event of a stream. Estimate, not measured.
-	maxEventBytes = 1 << 20
-	// streamBufferBytes: estimate, not measured.
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes     = 1 << 20
 	streamBufferBytes = 32 << 10
 )
 
--- a/upstream/httpcall.go
+++ b/upstream/httpcall.go
@@ -20,7 +20,7 @@
 // limitHeader names, in an answer, how many requests a second the upstream takes.
 const limitHeader = "Server-Limit"
 
-// maxErrorBytes bounds what is read of an error answer. Estimate, not measured.
+// maxErrorBytes bounds what is read of an error answer.
 const maxErrorBytes = 4 << 10
 
 // newClient returns a client that ends calls with their context. It uses
--- a/wire/heartbeat.go
+++ b/wire/heartbeat.go
@@ -3,11 +3,11 @@
 import "time"
 
 const (
-	// Heartbeat is the pause between two signs of life while work is in
-	// progress between an entry and an agent. Estimate, not measured.
+	// Heartbeat is the pause between two signs of life while work is in progress between an entry
+	// and an agent.
 	Heartbeat = 500 * time.Millisecond
-	// IdleHeartbeat is the pause while nothing is, which keeps a link that only
-	// waits within the bytes that a node may spend for control. Estimate, not measured.
+	// IdleHeartbeat is the pause while nothing is, which keeps a link that only waits within the
+	// bytes that a node may spend for control.
 	IdleHeartbeat = 5 * time.Second
 	// HeartbeatTimeout is how long nothing may arrive from a peer with work in progress
 	// before it counts as unreachable.
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -14,16 +14,13 @@
 )
 
 const (
-	// MaxMessageBytes bounds one message in either direction. Estimate, not measured.
+	// MaxMessageBytes bounds one message in either direction.
 	MaxMessageBytes = 16 << 20
 	// maxPendingBytes is how much may wait for a slow peer before writers block.
-	// Estimate, not measured.
 	maxPendingBytes = 4 << 20
 	// maxSpareBytes is the largest buffer that is kept for the next writes.
-	// Estimate, not measured.
-	maxSpareBytes = 256 << 10
-	lengthBytes   = 4
-	// readBufferBytes: estimate, not measured.
+	maxSpareBytes   = 256 << 10
+	lengthBytes     = 4
 	readBufferBytes = 16 << 10
 )
 
