Judge the health of upstreams and the turn at limited ones in packages without a clock

Package health has the outcomes of requests, as throttle has the limits; throttle.Gates says when one process may ask for a send. What gateway keeps is the lock, the clock and the messages. A caller is told to come back after 20 ms at least.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,8 +12,8 @@
 // The rules, each in a file of its own: choose.go and enginecost.go (which engine),
 // serveplain.go (which plain upstream), earlyrefusal.go (who is refused at once),
 // retryrule.go and retrybudget.go (what is sent again, and when it is given up),
-// endsupstreams.go (what is sent to no upstream any more), progress.go (which stream is
-// stalled), health.go (which upstream fails), priority.go (what an engine reads first),
+// endsupstreams.go (what is sent to no upstream any more), limitedcall.go (what upstreams in
+// need still take), progress.go (which stream is stalled), priority.go (what an engine reads first),
 // engines.go (when this gateway is cut off), stop.go (a planned stop). docs/DECISIONS.md lists them by question.
 package gateway
 
@@ -96,7 +96,7 @@
 	ends      *upstreamEnds
 	engines   *engines
 	estate    *estate.Estate
-	health    *health
+	health    upstreamHealth
 	leads     *quotaLeads
 	limits    *upstreamLimits
 	list      *listAnswer
@@ -119,7 +119,6 @@
 		crashes:   crash.NewLog(boottime.Now),
 		directory: directory.New(c.Instances, c.Logger),
 		estate:    estate.New(c.Documents, c.Logger),
-		health:    newHealth(),
 		logger:    c.Logger,
 		metrics:   newMetrics(c.Metrics),
 		started:   boottime.Now(),
--- a/gateway/limitedcall.go
+++ b/gateway/limitedcall.go
@@ -7,6 +7,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/internal/boottime"
+	"sandbarrow.example/sandbarrow/throttle"
 )
 
 // limitWait is what a call has seen of upstreams that take no request now.
@@ -25,13 +26,20 @@
 	w.seen = true
 }
 
-// mostSpread bounds the time over which callers are spread that wait for limited upstreams.
-const mostSpread = time.Second
+const (
+	// mostSpread bounds the time over which callers are spread that wait for limited upstreams.
+	mostSpread = time.Second
+	// leastReturn is the least time after which a caller is told to come back.
+	leastReturn = 20 * time.Millisecond
+	// sendWithinParts: a request waits for its turn at a limited upstream for one of so many
+	// parts of its time at most.
+	sendWithinParts = 4
+)
 
 // retryAfter is when the caller is told to come back: not before an upstream takes a request,
 // and spread, since one of those that come then is served.
 func (w *limitWait) retryAfter() time.Duration {
-	return max(w.free, leastAskPause) + rand.N(min(max(w.free, retryAfter), mostSpread))
+	return max(w.free, leastReturn) + rand.N(min(max(w.free, retryAfter), mostSpread))
 }
 
 // mayChoose reports whether an upstream takes a request now, with the price of one that names
@@ -48,10 +56,10 @@
 // permitSend asks for a send to an upstream. Where it takes no request now, the call looks for
 // another one.
 func (c *call) permitSend(ctx context.Context, in *sandbarrow.Instance) (*sendPermit, bool) {
-	permit, granted := c.gateway.limits.acquire(ctx, in, min(sendWithin, c.left()/sendWithinParts))
+	permit, granted := c.gateway.limits.acquire(ctx, in, min(throttle.Within, c.left()/sendWithinParts))
 	if !granted {
 		wait, _ := c.gateway.limits.look(boottime.Now(), in.ID)
-		c.limited.note(max(wait, leastAskPause))
+		c.limited.note(wait)
 	}
 	return permit, granted
 }
--- a/gateway/upstreamlimits.go
+++ b/gateway/upstreamlimits.go
@@ -20,27 +20,9 @@
 // is for all of them together, and often far below one request a second for each, so that no
 // gateway can keep to it by itself.
 
-const (
-	// sendWithin is how long a request waits for its turn at a limited upstream, rather than
-	// being refused.
-	sendWithin = 200 * time.Millisecond
-	// sendWithinParts: it waits for one of so many parts of its time at most.
-	sendWithinParts = 4
-	// leastAskPause and mostAskPause bound the pause until an upstream is asked for again that
-	// takes no request now: the longest is how late a gateway may learn that its limit has
-	// ended, or that another one has given a send back.
-	leastAskPause = 5 * time.Millisecond
-	mostAskPause  = time.Second
-	// limitedDelay is the price of an upstream that names a limit: one in need is spared where
-	// another one is about as good.
-	limitedDelay = 100 * time.Millisecond
-	// limitOld is after how long without an answer a limit is asked for again, by a request
-	// that goes to its upstream first: it may have ended.
-	limitOld = time.Second
-	// aloneParts is into how many parts a limit is split among gateways that reach neither a
-	// controller nor a peer.
-	aloneParts = 8
-)
+// aloneParts is into how many parts a limit is split among gateways that reach neither a
+// controller nor a peer.
+const aloneParts = 8
 
 // upstreamLimits keeps the limits that upstreams name, and asks for the sends to them. It is
 // safe for concurrent use.
@@ -54,22 +36,12 @@
 	some atomic.Bool
 
 	mu    sync.Mutex
-	gates map[sandbarrow.InstanceID]*sendGate
-	table throttle.Table
-}
-
-// sendGate is when a limited upstream may be asked for.
-type sendGate struct {
-	// asking says that a request of this gateway asks for a send right now.
-	asking bool
-	// free is when a send can be granted, as it was said last; until then none is asked for,
-	// but mostAskPause.
-	free, until time.Time
+	gates throttle.Gates
 }
 
 func newUpstreamLimits(g *Gateway) *upstreamLimits {
 	u := &upstreamLimits{
-		alone: enginelink.NewSendKeeper(aloneParts), gateway: g, gates: map[sandbarrow.InstanceID]*sendGate{}, kept: enginelink.NewSendKeeper(1),
+		alone: enginelink.NewSendKeeper(aloneParts), gateway: g, kept: enginelink.NewSendKeeper(1),
 	}
 	u.keepers = newSendKeepers(u)
 	return u
@@ -84,7 +56,7 @@
 func (u *upstreamLimits) limited() float64 {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return float64(u.table.Limited())
+	return float64(u.gates.Limited())
 }
 
 // observe reads the limit that an upstream names in an answer to a request sent at a time. A
@@ -114,9 +86,9 @@
 		said = throttle.Limit{At: sent, Ended: true}
 	}
 	u.mu.Lock()
-	changed := u.table.Apply(now, in.ID, said)
-	u.some.Store(!u.table.Empty())
-	record, _ := u.table.Record(now, in.ID)
+	changed := u.gates.Apply(now, in.ID, said)
+	u.some.Store(!u.gates.Empty())
+	record, _ := u.gates.Record(now, in.ID)
 	u.mu.Unlock()
 	if changed {
 		u.logChanged(record)
@@ -127,8 +99,8 @@
 // learn applies what others say of an upstream's limit.
 func (u *upstreamLimits) learn(r throttle.Record) {
 	u.mu.Lock()
-	changed := u.table.Merge(boottime.Now(), r)
-	u.some.Store(!u.table.Empty())
+	changed := u.gates.Merge(boottime.Now(), r)
+	u.some.Store(!u.gates.Empty())
 	u.mu.Unlock()
 	if changed {
 		u.logChanged(r)
@@ -146,94 +118,37 @@
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.table.InForce(boottime.Now(), id)
+	return u.gates.InForce(boottime.Now(), id)
 }
 
-// look returns how long it is until an upstream may be asked for, and its price: one in need
-// is spared, but for the requests that show whether it still names its limit. Both are 0 for
-// one that names none.
+// look returns how long it is until an upstream may be asked for, and its price.
 func (u *upstreamLimits) look(now time.Time, id sandbarrow.InstanceID) (wait, price time.Duration) {
 	if !u.some.Load() {
 		return 0, 0
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	limit, limited := u.table.InForce(now, id)
-	if !limited {
-		return 0, 0
-	}
-	price = limitedDelay
-	if now.Sub(limit.At) > limitOld {
-		price = -limitedDelay
-	}
-	g := u.gates[id]
-	switch {
-	case g == nil:
-		return 0, price
-	case g.asking:
-		return limit.Rate.Interval(), price
-	case now.Before(g.until):
-		return g.free.Sub(now), price
-	}
-	return 0, price
+	return u.gates.Look(now, id)
 }
 
-// begin notes that a request asks for a send, and returns what to ask with. Where the upstream
-// names no limit there is no need; where another request asks already, or none can be granted
-// now, it must not.
+// begin notes that a request asks for a send, where it needs to and may.
 func (u *upstreamLimits) begin(id sandbarrow.InstanceID) (record throttle.Record, need, may bool) {
 	if !u.some.Load() {
 		return record, false, true
 	}
-	now := boottime.Now()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if _, limited := u.table.InForce(now, id); !limited {
-		delete(u.gates, id)
-		return record, false, true
-	}
-	g := u.gates[id]
-	if g == nil {
-		u.forgetGates(now)
-		g = &sendGate{}
-		u.gates[id] = g
-	}
-	if g.asking || now.Before(g.until) {
-		return record, true, false
-	}
-	g.asking = true
-	record, _ = u.table.Record(now, id)
-	return record, true, true
-}
-
-// forgetGates drops the gates of upstreams that name no limit any more. The caller holds mu.
-func (u *upstreamLimits) forgetGates(now time.Time) {
-	for id := range u.gates {
-		if _, known := u.table.Record(now, id); !known {
-			delete(u.gates, id)
-		}
-	}
+	return u.gates.Begin(boottime.Now(), id)
 }
 
 // end notes what came of asking for a send.
-func (u *upstreamLimits) end(id sandbarrow.InstanceID, grant *enginelink.SendGrant) {
-	if grant.Limit != nil {
-		u.learn(*grant.Limit)
+func (u *upstreamLimits) end(id sandbarrow.InstanceID, g *enginelink.SendGrant) {
+	if g.Limit != nil {
+		u.learn(*g.Limit)
 	}
-	now := boottime.Now()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	g := u.gates[id]
-	if g == nil {
-		return
-	}
-	g.asking = false
-	if grant.Granted {
-		return
-	}
-	wait := time.Duration(grant.WaitMS) * time.Millisecond
-	g.free = now.Add(wait)
-	g.until = now.Add(min(max(wait-sendWithin, leastAskPause), mostAskPause))
+	u.gates.End(boottime.Now(), id, throttle.Grant{Granted: g.Granted, Wait: time.Duration(g.WaitMS) * time.Millisecond})
 }
 
 // sendPermit is the right to send one request to an upstream.
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -4,7 +4,7 @@
 // processes together, for as long as it says so. A Table keeps what a process knows of such
 // limits, the newest answer first. A Keeper grants single sends to limited upstreams; where
 // all processes ask the same one, what they send together stays within the limit, however far
-// that is below one request a second for each of them.
+// that is below one request a second for each of them. Gates bound how often one process asks.
 //
 // The package owns that memory, bounded and forgotten, and the rule that grants. It has no
 // clock, lock or connection: its callers give the time, guard it, choose the Keeper and carry
