Let a request wait for its turn at a limited upstream only where all upstreams name a limit

A request that shows whether a limit still holds waited up to 0.2 s for its turn although other upstreams were free. It asks for a send at once now, and goes elsewhere where there is none.

--- a/gateway/limitedcall.go
+++ b/gateway/limitedcall.go
@@ -14,7 +14,9 @@
 type limitWait struct {
 	// free is how long it is until the first of them takes one.
 	free time.Duration
-	// seen says that there was any.
+	// others says that the last choice was among upstreams that name no limit too.
+	others bool
+	// seen says that there was any that takes no request now.
 	seen bool
 }
 
@@ -50,13 +52,20 @@
 		c.limited.note(wait)
 		return 0, false
 	}
+	if price == 0 {
+		c.limited.others = true
+	}
 	return price, true
 }
 
 // permitSend asks for a send to an upstream. Where it takes no request now, the call looks for
-// another one.
+// another one; it waits for its turn only where all upstreams name a limit.
 func (c *call) permitSend(ctx context.Context, in *sandbarrow.Instance) (*sendPermit, bool) {
-	permit, granted := c.gateway.limits.acquire(ctx, in, min(throttle.Within, c.left()/sendWithinParts))
+	within := min(throttle.Within, c.left()/sendWithinParts)
+	if c.limited.others {
+		within = 0
+	}
+	permit, granted := c.gateway.limits.acquire(ctx, in, within)
 	if !granted {
 		wait, _ := c.gateway.limits.look(boottime.Now(), in.ID)
 		c.limited.note(wait)
--- a/gateway/serveplain.go
+++ b/gateway/serveplain.go
@@ -137,6 +137,7 @@
 // domain. The load from other gateways is not known.
 func (g *Gateway) choosePlain(c *call, excluded map[sandbarrow.InstanceID]bool) *sandbarrow.Instance {
 	now := boottime.Now()
+	c.limited.others = false
 	var best *sandbarrow.Instance
 	var bestCost time.Duration
 	for _, in := range g.directory.View().Service(c.service.ID) {
--- a/gateway/upstreamlimits.go
+++ b/gateway/upstreamlimits.go
@@ -141,14 +141,14 @@
 	return u.gates.Begin(boottime.Now(), id)
 }
 
-// end notes what came of asking for a send.
-func (u *upstreamLimits) end(id sandbarrow.InstanceID, g *enginelink.SendGrant) {
+// end notes what came of asking for a send within a time.
+func (u *upstreamLimits) end(id sandbarrow.InstanceID, g *enginelink.SendGrant, within time.Duration) {
 	if g.Limit != nil {
 		u.learn(*g.Limit)
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.gates.End(boottime.Now(), id, throttle.Grant{Granted: g.Granted, Wait: time.Duration(g.WaitMS) * time.Millisecond})
+	u.gates.End(boottime.Now(), id, throttle.Grant{Granted: g.Granted, Wait: time.Duration(g.WaitMS) * time.Millisecond}, within)
 }
 
 // sendPermit is the right to send one request to an upstream.
@@ -176,7 +176,7 @@
 		return &sendPermit{}, true
 	}
 	grant := u.keepers.ask(ctx, enginelink.Send{Record: record, WithinMS: within.Milliseconds()})
-	u.end(in.ID, &grant)
+	u.end(in.ID, &grant, within)
 	outcome := "refused"
 	if grant.Granted {
 		outcome = "granted"
--- a/throttle/gates.go
+++ b/throttle/gates.go
@@ -99,8 +99,8 @@
 	return e
 }
 
-// End notes what came of asking for a send.
-func (g *Gates) End(now time.Time, id sandbarrow.InstanceID, granted Grant) {
+// End notes what came of asking for a send within a time.
+func (g *Gates) End(now time.Time, id sandbarrow.InstanceID, granted Grant, within time.Duration) {
 	e := g.gates[id]
 	if e == nil {
 		return
@@ -110,5 +110,5 @@
 		return
 	}
 	e.free = now.Add(granted.Wait)
-	e.until = now.Add(min(max(granted.Wait-Within, leastAskPause), mostAskPause))
+	e.until = now.Add(min(max(granted.Wait-within, leastAskPause), mostAskPause))
 }
