--- a/agent/ends.go
+++ b/agent/ends.go
@@ -2,17 +2,14 @@
 
 import (
 	"context"
-	"net"
 	"net/url"
 	"strconv"
-	"syscall"
 	"time"
 
-	"github.com/juju/errors"
-
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/crash"
 	"sandbarrow.example/sandbarrow/internal/boottime"
+	"sandbarrow.example/sandbarrow/internal/listening"
 )
 
 // This file notes under which requests the upstream has ended, and tells the entries: a run
@@ -102,13 +99,5 @@
 // nothing.
 func refusesConnections(ctx context.Context, base string) bool {
 	u, err := url.Parse(base)
-	if err != nil {
-		return false
-	}
-	d := net.Dialer{Timeout: endDialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", u.Host)
-	if err == nil {
-		_ = conn.Close()
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return err == nil && listening.Dial(ctx, u.Host, endDialTimeout) == listening.Refuses
 }
--- a/gateway/upstreamend.go
+++ b/gateway/upstreamend.go
@@ -3,17 +3,14 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/juju/errors"
-
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/crash"
 	"sandbarrow.example/sandbarrow/forward"
 	"sandbarrow.example/sandbarrow/internal/boottime"
+	"sandbarrow.example/sandbarrow/internal/listening"
 	"sandbarrow.example/sandbarrow/internal/pause"
 )
 
@@ -137,13 +134,16 @@
 // look watches one upstream until there is evidence of its end, or endWindow has passed.
 func (u *upstreamEnds) look(ctx context.Context, l *endLook) {
 	began := time.Now()
-	evidence, listens := dialForEnd(ctx, l.instance.Address)
-	u.conclude(l, evidence)
-	close(l.dialled)
 	until := began.Add(endWindow)
-	if listens {
+	var evidence endEvidence
+	switch listening.Dial(ctx, l.instance.Address, forward.DialTimeout) {
+	case listening.Listens:
 		until = began.Add(aliveWindow)
+	case listening.Refuses:
+		evidence = endRefused
 	}
+	u.conclude(l, evidence)
+	close(l.dialled)
 	for ctx.Err() == nil && time.Now().Before(until) {
 		if evidence == "" {
 			u.conclude(l, u.restarted(l.instance))
@@ -197,21 +197,6 @@
 		slog.String("fingerprint", b.print.String()), slog.Int64("broken_ms", boottime.Since(b.at).Milliseconds()))
 }
 
-// dialForEnd dials an upstream: where nothing listens any more, the process has ended. No
-// answer says nothing.
-func dialForEnd(ctx context.Context, address string) (evidence endEvidence, listens bool) {
-	d := net.Dialer{Timeout: forward.DialTimeout, KeepAlive: -1}
-	conn, err := d.DialContext(ctx, "tcp", address)
-	switch {
-	case err == nil:
-		_ = conn.Close()
-		return "", true
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return endRefused, false
-	}
-	return "", false
-}
-
 // restarted looks for another start of an upstream, in the list and in the reports of its
 // controller.
 func (u *upstreamEnds) restarted(in *sandbarrow.Instance) endEvidence {
