Read what upstreams announce in one place, and keep the header's name in platform

The name of the header in which upstreams name a limit stood in the clients of upstreams and in the stand-ins, and the rule what an answer says of a limit stood in the gateway and in the agent. platform.Announcements reads and writes these headers now, throttle.LimitOf has the rule.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -74,8 +74,9 @@
 	unready   bool
 }
 
-// New returns an agent that listens from now on.
-func New(s *settings.Settings, logger *slog.Logger, registry *prometheus.Registry) (*Agent, error) {
+// New returns an agent that listens from now on. It reads by reader what its upstream says of
+// itself in its answers.
+func New(s *settings.Settings, reader sandbarrow.AnnouncementReader, logger *slog.Logger, registry *prometheus.Registry) (*Agent, error) {
 	listener, err := net.Listen("tcp", s.Listen.RPC)
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen.rpc %s", s.Listen.RPC)
@@ -94,7 +95,7 @@
 		follower:    config.NewFollower(st, logger),
 		incarnation: sandbarrow.Incarnation(uuid.NewString()),
 		lease:       lease.NewHolder(st, "leases/"+string(u.ID), time.Duration(s.Agent.LeaseTTL), logger),
-		limit:       newSendLimit(u.ID, logger),
+		limit:       newSendLimit(u.ID, reader, logger),
 		list:        newBoxList(s),
 		listener:    listener,
 		logger:      logger,
--- a/agent/sendlimit.go
+++ b/agent/sendlimit.go
@@ -16,13 +16,14 @@
 type sendLimit struct {
 	instance sandbarrow.InstanceID
 	logger   *slog.Logger
+	reader   sandbarrow.AnnouncementReader
 
 	mu     sync.Mutex
 	keeper throttle.Keeper
 }
 
-func newSendLimit(id sandbarrow.UpstreamID, logger *slog.Logger) *sendLimit {
-	return &sendLimit{instance: sandbarrow.InstanceID(id), logger: logger}
+func newSendLimit(id sandbarrow.UpstreamID, reader sandbarrow.AnnouncementReader, logger *slog.Logger) *sendLimit {
+	return &sendLimit{instance: sandbarrow.InstanceID(id), logger: logger, reader: reader}
 }
 
 // admission says whether a request may be sent.
@@ -64,23 +65,17 @@
 	}
 }
 
-// Answered reads the limit that an answer names. A malformed one says nothing, and neither does
-// a failure that names none.
-func (l *sendLimit) Answered(sent time.Time, status int, limit string) {
+// Answered reads the limit that an answer names. A malformed answer says nothing.
+func (l *sendLimit) Answered(sent time.Time, status int, h http.Header) {
+	announced, err := l.reader.Read(status, h)
+	if err != nil {
+		l.logger.Warn("announcement of the upstream not read", "error", err.Error())
+		return
+	}
 	now := boottime.Now()
-	said := throttle.Limit{At: now}
-	switch {
-	case limit != "":
-		rate, err := throttle.ParseRate(limit)
-		if err != nil {
-			l.logger.Warn("limit of the upstream not read", "error", err.Error())
-			return
-		}
-		said.Rate = rate
-	case status >= http.StatusInternalServerError:
+	said, says := throttle.LimitOf(now, sent, status, announced.Limit)
+	if !says {
 		return
-	default:
-		said = throttle.Limit{At: sent, Ended: true}
 	}
 	l.mu.Lock()
 	changed := l.keeper.Apply(now, l.instance, said)
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -26,6 +26,7 @@
 	"sandbarrow.example/sandbarrow/estate"
 	"sandbarrow.example/sandbarrow/internal/await"
 	"sandbarrow.example/sandbarrow/internal/boottime"
+	"sandbarrow.example/sandbarrow/platform"
 	"sandbarrow.example/sandbarrow/quota"
 	"sandbarrow.example/sandbarrow/route"
 	"sandbarrow.example/sandbarrow/store"
@@ -295,6 +296,7 @@
 		f.runners = append(f.runners, r)
 	}
 	config := Config{
+		Announcements:   platform.Announcements{},
 		AcceptAfterStop: 100 * time.Millisecond, Box: "gateway", ControllerPort: port, Documents: testDocuments{}, Headers: testNames, Instances: testInstances{},
 		Logger: logger, Metrics: prometheus.NewRegistry(), RetryShare: 0.2, RetrySlack: 50, StopGrace: 4 * time.Second, Store: f.store, TableStore: f.store,
 	}
--- a/gateway/upstreamlimits.go
+++ b/gateway/upstreamlimits.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,30 +59,20 @@
 }
 
 // observe reads the limit that an upstream names in an answer to a request sent at a time. A
-// malformed one says nothing, and neither does the answer of another instance that has its
-// address. That an upstream names none any more is believed of an answer alone that it did
-// not fail.
+// malformed answer says nothing.
 func (u *upstreamLimits) observe(in *sandbarrow.Instance, sent time.Time, a *forward.Answer) {
-	text := a.Header.Get(u.gateway.config.Headers.Limit)
-	if text == "" && !u.some.Load() {
+	announced, err := u.gateway.config.Announcements.Read(a.Status, a.Header)
+	if err != nil {
+		u.gateway.logger.Warn("announcement of an upstream not read", "upstream", string(in.ID), "error", err.Error())
 		return
 	}
-	now := boottime.Now()
-	said := throttle.Limit{At: now}
-	switch {
-	case a.Status == http.StatusMisdirectedRequest:
+	if announced.Limit == nil && !u.some.Load() {
 		return
-	case text != "":
-		rate, err := throttle.ParseRate(text)
-		if err != nil {
-			u.gateway.logger.Warn("limit of an upstream not read", "upstream", string(in.ID), "error", err.Error())
-			return
-		}
-		said.Rate = rate
-	case a.Status >= http.StatusInternalServerError:
+	}
+	now := boottime.Now()
+	said, says := throttle.LimitOf(now, sent, a.Status, announced.Limit)
+	if !says {
 		return
-	default:
-		said = throttle.Limit{At: sent, Ended: true}
 	}
 	u.mu.Lock()
 	changed := u.gates.Apply(now, in.ID, said)
--- a/headernames.go
+++ b/headernames.go
@@ -15,9 +15,6 @@
 	Instance string
 	// LastEvent holds the id of the last event that the caller has of a stream.
 	LastEvent string
-	// Limit holds, in an answer, how many requests a second the upstream takes from all
-	// gateways together, for as long as it says so.
-	Limit string
 	// Model holds a base model, or a base model, a slash and an adapter.
 	Model string
 	// MoveFrom holds the address of another engine, from which the engine takes what
--- a/internal/cmd/agentcmd.go
+++ b/internal/cmd/agentcmd.go
@@ -11,6 +11,7 @@
 	"sandbarrow.example/sandbarrow/agent"
 	"sandbarrow.example/sandbarrow/httpserve"
 	"sandbarrow.example/sandbarrow/logging"
+	"sandbarrow.example/sandbarrow/platform"
 	"sandbarrow.example/sandbarrow/settings"
 )
 
@@ -37,7 +38,7 @@
 		return err
 	}
 	registry := prometheus.NewRegistry()
-	a, err := agent.New(s, logger, registry)
+	a, err := agent.New(s, platform.Announcements{}, logger, registry)
 	if err != nil {
 		return err
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -21,6 +21,7 @@
 	"sandbarrow.example/sandbarrow/config"
 	"sandbarrow.example/sandbarrow/entry"
 	"sandbarrow.example/sandbarrow/jsonc"
+	"sandbarrow.example/sandbarrow/platform"
 	"sandbarrow.example/sandbarrow/settings"
 	"sandbarrow.example/sandbarrow/standin"
 	"sandbarrow.example/sandbarrow/store"
@@ -64,7 +65,7 @@
 		cancel:  cancel,
 		group:   group,
 		kv:      standin.NewKV(standin.KVLimits{Reads: 2000, Writes: 300}),
-		service: standin.NewPlainService(2 * time.Millisecond),
+		service: standin.NewPlainService(2*time.Millisecond, platform.Announcements{}),
 	}
 	if err := d.start(ctx); err != nil {
 		d.Stop()
@@ -86,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	platform := settings.Platform{BoxList: list + "/boxes", Store: kv}
+	services := settings.Platform{BoxList: list + "/boxes", Store: kv}
 	if _, _, err := config.Apply(ctx, store.NewHTTP(kv), document(), 0); err != nil {
 		return err
 	}
@@ -95,19 +96,19 @@
 			ChecksToken: true, MaxBatch: maxBatch, Slots: engineSlots, Step: stepTime, WeightStore: weights,
 		})
 		d.engines = append(d.engines, e)
-		if err := d.startAgent(ctx, platform, i, e, settings.Upstream{
+		if err := d.startAgent(ctx, services, i, e, settings.Upstream{
 			BaseModel: baseModel, ChecksToken: true, Kind: settings.KindEngine, MaxRunning: maxBatch, Slots: engineSlots,
 		}); err != nil {
 			return err
 		}
 	}
-	if err := d.startAgent(ctx, platform, 2, d.service, settings.Upstream{
+	if err := d.startAgent(ctx, services, 2, d.service, settings.Upstream{
 		Kind: settings.KindService, MaxRunning: maxBatch, Service: receiptService,
 	}); err != nil {
 		return err
 	}
 	for i := range 2 {
-		if err := d.startEntry(ctx, platform, i); err != nil {
+		if err := d.startEntry(ctx, services, i); err != nil {
 			return err
 		}
 	}
@@ -155,7 +156,7 @@
 		Listen:   settings.Listen{HTTP: loopback, RPC: loopback},
 		Platform: p,
 	}
-	a, err := agent.New(s, discard(), prometheus.NewRegistry())
+	a, err := agent.New(s, platform.Announcements{}, discard(), prometheus.NewRegistry())
 	if err != nil {
 		return err
 	}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -9,10 +9,14 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"sandbarrow.example/sandbarrow"
 )
 
 // EngineOptions describe an Engine.
 type EngineOptions struct {
+	// Announcements writes what the engine announces of itself.
+	Announcements sandbarrow.AnnouncementWriter
 	// ChecksToken makes orders under an older fencing token fail.
 	ChecksToken bool
 	// MaxBatch is the number of requests that share a step.
@@ -48,6 +52,8 @@
 // NewEngine returns an empty engine that steps until ctx ends.
 func NewEngine(ctx context.Context, o EngineOptions) *Engine {
 	e := &Engine{
+		faultSwitch: faultSwitch{announcements: o.Announcements},
+
 		loaded:  map[string]int{},
 		options: o,
 		running: map[string]*generation{},
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -6,6 +6,8 @@
 	"net/http/httptest"
 	"sync"
 	"time"
+
+	"sandbarrow.example/sandbarrow"
 )
 
 // Faults are the faults of one stand-in. Counts are used up one by one.
@@ -20,7 +22,7 @@
 	Fatal string `json:"fatal"`
 	// HangLoads hangs as many loads until their caller leaves (engine).
 	HangLoads int `json:"hang_loads"`
-	// Limit is named as the limit on requests a second in each answer; "" names none.
+	// Limit is announced as the limit on requests a second in each answer; "" announces none.
 	Limit string `json:"limit"`
 	// LoseReplies cuts as many changing calls after they took effect.
 	LoseReplies int `json:"lose_replies"`
@@ -34,9 +36,12 @@
 
 // faultSwitch guards the faults of a stand-in and applies the general ones.
 type faultSwitch struct {
+	// announcements is nil for a stand-in that announces nothing.
+	announcements sandbarrow.AnnouncementWriter
+	onSet         func(Faults)
+
 	mu     sync.Mutex
 	faults Faults
-	onSet  func(Faults)
 }
 
 // get returns the faults in force.
@@ -82,8 +87,8 @@
 		if f.Down {
 			panic(http.ErrAbortHandler)
 		}
-		if f.Limit != "" {
-			w.Header().Set("Server-Limit", f.Limit)
+		if s.announcements != nil {
+			s.announcements.Write(w.Header(), sandbarrow.AnnouncementTexts{Limit: f.Limit})
 		}
 		changes := r.Method != http.MethodGet
 		if changes && s.take(func(f *Faults) *int { return &f.LoseReplies }) {
--- a/standin/plainservice.go
+++ b/standin/plainservice.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"sandbarrow.example/sandbarrow"
 )
 
 // PlainService is a stand-in for a service whose calls may not be repeatable.
@@ -17,9 +19,10 @@
 	work time.Duration
 }
 
-// NewPlainService returns a service whose calls take work.
-func NewPlainService(work time.Duration) *PlainService {
-	s := &PlainService{work: work}
+// NewPlainService returns a service whose calls take work. What it announces of itself is written
+// by announcements.
+func NewPlainService(work time.Duration, announcements sandbarrow.AnnouncementWriter) *PlainService {
+	s := &PlainService{faultSwitch: faultSwitch{announcements: announcements}, work: work}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /log", s.log.serve)
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
--- a/throttle/limit.go
+++ b/throttle/limit.go
@@ -1,6 +1,7 @@
 package throttle
 
 import (
+	"net/http"
 	"time"
 
 	"sandbarrow.example/sandbarrow"
@@ -16,6 +17,23 @@
 	Rate  Rate
 }
 
+// LimitOf decides what an answer says of its upstream's limit; false where it says nothing. That
+// the upstream names none any more is concluded only from an answer that is no failure.
+//
+// Inputs: when the request was sent, the status of the answer and the limit that it names, nil
+// where it names none.
+func LimitOf(now, sent time.Time, status int, named *sandbarrow.RequestRate) (Limit, bool) {
+	switch {
+	case status == http.StatusMisdirectedRequest:
+		return Limit{}, false // the answer of another instance
+	case named != nil:
+		return Limit{At: now, Rate: min(Rate(*named), mostRate)}, true
+	case status >= http.StatusInternalServerError:
+		return Limit{}, false
+	}
+	return Limit{At: sent, Ended: true}, true
+}
+
 // newer reports whether the limit replaces another one.
 func (l Limit) newer(than Limit) bool {
 	return l.At.After(than.At)
--- a/throttle/table_test.go
+++ b/throttle/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -10,16 +11,21 @@
 	"sandbarrow.example/sandbarrow"
 )
 
-func TestParseRate(t *testing.T) {
-	for text, want := range map[string]Rate{"1.4": 1.4, " 0.5 ": 0.5, "0": 0, "7": 7, "1e9": mostRate} {
-		got, err := ParseRate(text)
-		assert.NilError(t, err)
-		assert.Equal(t, got, want)
-	}
-	for _, text := range []string{"", "-1", "NaN", "many", "1,4", "Inf", "-Inf"} {
-		_, err := ParseRate(text)
-		assert.Assert(t, err != nil, "%q", text)
+func TestLimitOf(t *testing.T) {
+	now := time.Now()
+	sent := now.Add(-time.Second)
+	for rate, want := range map[sandbarrow.RequestRate]Rate{1.4: 1.4, 0: 0, 1e9: mostRate} {
+		l, says := LimitOf(now, sent, http.StatusServiceUnavailable, &rate)
+		assert.Assert(t, says)
+		assert.Equal(t, l, Limit{At: now, Rate: want})
+		_, says = LimitOf(now, sent, http.StatusMisdirectedRequest, &rate)
+		assert.Assert(t, !says, "another instance's")
 	}
+	l, says := LimitOf(now, sent, http.StatusOK, nil)
+	assert.Assert(t, says)
+	assert.Equal(t, l, Limit{At: sent, Ended: true})
+	_, says = LimitOf(now, sent, http.StatusBadGateway, nil)
+	assert.Assert(t, !says, "a failure that names none")
 }
 
 // The newest word of an upstream counts, whatever order the answers come in: one without a
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -11,14 +11,7 @@
 // Records between processes.
 package throttle
 
-import (
-	"math"
-	"strconv"
-	"strings"
-	"time"
-
-	"github.com/juju/errors"
-)
+import "time"
 
 // Rate is a number of requests a second.
 type Rate float64
@@ -31,15 +24,6 @@
 	mostRate Rate = 1e6
 )
 
-// ParseRate reads the decimal number in which an upstream names its limit.
-func ParseRate(text string) (Rate, error) {
-	rate, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
-	if err != nil || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
-		return 0, errors.NotValidf("limit %q (want requests a second)", text)
-	}
-	return min(Rate(rate), mostRate), nil
-}
-
 // held is the rate at which requests are granted.
 func (r Rate) held() float64 {
 	return float64(max(r, leastRate))
--- a/upstream/httpcall.go
+++ b/upstream/httpcall.go
@@ -17,9 +17,6 @@
 // requestIDHeader carries the request's id to the upstream.
 const requestIDHeader = "X-Request-Id"
 
-// limitHeader names, in an answer, how many requests a second the upstream takes.
-const limitHeader = "Server-Limit"
-
 // maxErrorBytes bounds what is read of an error answer.
 const maxErrorBytes = 4 << 10
 
@@ -67,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	o.Answered(sent, resp.StatusCode, resp.Header.Get(limitHeader))
+	o.Answered(sent, resp.StatusCode, resp.Header)
 	return resp, nil
 }
 
