Log and count what upstreams announce, and what is sent to them afterwards

The logs could not tell an announcement that nobody reads from one that is known and lost on the way. Each gateway now keeps what its answers announced (package availability, a memory by the starts of upstreams), logs it once, and says at each request and failed attempt how long ago the upstream had announced that it drains, or how much of its backoff was left. Nothing is decided by it yet.

--- /dev/null
+++ b/availability/notices.go
@@ -0,0 +1,144 @@
+package availability
+
+import (
+	"net/http"
+	"time"
+
+	"sandbarrow.example/sandbarrow"
+)
+
+const (
+	// keepFor is how long a notice is kept that nobody looks at, as of an upstream that is
+	// listed no more. One that is back in the list after an outage of the store still drains.
+	keepFor = 10 * time.Minute
+	// forgetPause is the pause between two looks for notices to be forgotten.
+	forgetPause = time.Second
+	// maxNotices bounds the notices that are kept, at some 100 bytes each; those give way that
+	// were looked at least recently.
+	maxNotices = 2048
+)
+
+// Notice is what an upstream has announced to this process, as it stands at one moment.
+type Notice struct {
+	// Backoff is for how long the upstream still wants no requests.
+	Backoff time.Duration
+	// Draining says that the upstream accepts no requests any more.
+	Draining bool
+	// DrainingFor is how long ago it has announced that.
+	DrainingFor time.Duration
+}
+
+// notice is what one start of an upstream has announced.
+type notice struct {
+	// backoffUntil and drainingSince are zero where it has announced neither.
+	backoffUntil, drainingSince time.Time
+	// used is when the notice was last announced or looked at.
+	used time.Time
+}
+
+// Change says what is new with an answer.
+type Change struct {
+	// Backoff says that the upstream has begun to want no requests for a time.
+	Backoff bool
+	// Draining says that the upstream has announced that it drains.
+	Draining bool
+}
+
+// Notices keeps what upstreams announce of themselves in their answers, by their starts: one
+// that has started again has announced nothing. The zero Notices is empty.
+type Notices struct {
+	byStart  map[sandbarrow.InstanceID]*notice
+	forgotAt time.Time
+}
+
+// Apply notes what an answer of an upstream announces.
+//
+// Inputs: the start that was asked, the status of its answer and what the answer announces. The
+// answer of another instance, which has the address by now, says nothing.
+func (n *Notices) Apply(now time.Time, id sandbarrow.InstanceID, status int, a sandbarrow.Announcement) Change {
+	n.forget(now)
+	if status == http.StatusMisdirectedRequest || !a.Draining && a.Backoff <= 0 {
+		return Change{}
+	}
+	e := n.entry(id)
+	e.used = now
+	change := Change{Backoff: a.Backoff > 0 && !now.Before(e.backoffUntil), Draining: a.Draining && e.drainingSince.IsZero()}
+	if change.Draining {
+		e.drainingSince = now
+	}
+	if until := now.Add(a.Backoff); until.After(e.backoffUntil) {
+		e.backoffUntil = until
+	}
+	return change
+}
+
+// Look returns what an upstream has announced.
+func (n *Notices) Look(now time.Time, id sandbarrow.InstanceID) Notice {
+	e := n.byStart[id]
+	if e == nil {
+		return Notice{}
+	}
+	e.used = now
+	l := Notice{Backoff: max(0, e.backoffUntil.Sub(now)), Draining: !e.drainingSince.IsZero()}
+	if l.Draining {
+		l.DrainingFor = now.Sub(e.drainingSince)
+	}
+	return l
+}
+
+// Count counts the upstreams that have announced that they drain, and those that want no
+// requests now.
+func (n *Notices) Count(now time.Time) (draining, backoff int) {
+	for _, e := range n.byStart {
+		if !e.drainingSince.IsZero() {
+			draining++
+		}
+		if now.Before(e.backoffUntil) {
+			backoff++
+		}
+	}
+	return draining, backoff
+}
+
+// entry returns the notice of a start, a new one where there is none.
+func (n *Notices) entry(id sandbarrow.InstanceID) *notice {
+	e := n.byStart[id]
+	if e != nil {
+		return e
+	}
+	if n.byStart == nil {
+		n.byStart = map[sandbarrow.InstanceID]*notice{}
+	}
+	if len(n.byStart) >= maxNotices {
+		n.dropOldest()
+	}
+	e = &notice{}
+	n.byStart[id] = e
+	return e
+}
+
+// forget drops what nobody looks at any more, and backoffs that are over.
+func (n *Notices) forget(now time.Time) {
+	if now.Sub(n.forgotAt) < forgetPause {
+		return
+	}
+	n.forgotAt = now
+	for id, e := range n.byStart {
+		over := e.drainingSince.IsZero() && !now.Before(e.backoffUntil)
+		if over || now.Sub(e.used) > keepFor {
+			delete(n.byStart, id)
+		}
+	}
+}
+
+// dropOldest drops the notice that was looked at least recently.
+func (n *Notices) dropOldest() {
+	var oldest sandbarrow.InstanceID
+	var least *notice
+	for id, e := range n.byStart {
+		if least == nil || e.used.Before(least.used) {
+			oldest, least = id, e
+		}
+	}
+	delete(n.byStart, oldest)
+}
--- /dev/null
+++ b/availability/notices_test.go
@@ -0,0 +1,68 @@
+package availability
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sandbarrow.example/sandbarrow"
+)
+
+const (
+	upstream sandbarrow.InstanceID = "u@1"
+	restart  sandbarrow.InstanceID = "u@2"
+)
+
+func TestDrainIsKeptForOneStart(t *testing.T) {
+	now := time.Now()
+	var n Notices
+	drains := sandbarrow.Announcement{Draining: true}
+	assert.Equal(t, n.Apply(now, upstream, http.StatusOK, drains), Change{Draining: true})
+	assert.Equal(t, n.Apply(now.Add(time.Second), upstream, http.StatusOK, drains), Change{})
+	assert.Equal(t, n.Look(now.Add(time.Minute), upstream), Notice{Draining: true, DrainingFor: time.Minute})
+	assert.Equal(t, n.Look(now, restart), Notice{}, "it has started again")
+}
+
+func TestLongestBackoffCounts(t *testing.T) {
+	now := time.Now()
+	var n Notices
+	wants := func(d time.Duration) sandbarrow.Announcement { return sandbarrow.Announcement{Backoff: d} }
+	assert.Equal(t, n.Apply(now, upstream, http.StatusServiceUnavailable, wants(3*time.Second)), Change{Backoff: true})
+	assert.Equal(t, n.Apply(now.Add(time.Second), upstream, http.StatusServiceUnavailable, wants(time.Second)), Change{})
+	assert.Equal(t, n.Look(now.Add(time.Second), upstream).Backoff, 2*time.Second)
+	assert.Equal(t, n.Apply(now.Add(2*time.Second), upstream, http.StatusServiceUnavailable, wants(3*time.Second)), Change{})
+	assert.Equal(t, n.Look(now.Add(2*time.Second), upstream).Backoff, 3*time.Second)
+	assert.Equal(t, n.Look(now.Add(5*time.Second), upstream), Notice{}, "it is over")
+	assert.Equal(t, n.Apply(now.Add(6*time.Second), upstream, http.StatusServiceUnavailable, wants(time.Second)), Change{Backoff: true})
+}
+
+func TestAnswerOfAnotherInstanceAnnouncesNothing(t *testing.T) {
+	now := time.Now()
+	var n Notices
+	a := sandbarrow.Announcement{Backoff: time.Second, Draining: true}
+	assert.Equal(t, n.Apply(now, upstream, http.StatusMisdirectedRequest, a), Change{})
+	assert.Equal(t, n.Look(now, upstream), Notice{})
+}
+
+func TestNoticesAreForgotten(t *testing.T) {
+	now := time.Now()
+	var n Notices
+	n.Apply(now, upstream, http.StatusOK, sandbarrow.Announcement{Draining: true})
+	n.Apply(now, restart, http.StatusServiceUnavailable, sandbarrow.Announcement{Backoff: time.Second})
+	n.Apply(now.Add(2*time.Second), "other", http.StatusOK, sandbarrow.Announcement{})
+	assert.Equal(t, len(n.byStart), 1, "a backoff that is over")
+	n.Look(now.Add(keepFor), upstream)
+	n.Apply(now.Add(keepFor+time.Minute), "other", http.StatusOK, sandbarrow.Announcement{})
+	assert.Equal(t, len(n.byStart), 1, "it is still looked at")
+	n.Apply(now.Add(2*keepFor+time.Minute), "other", http.StatusOK, sandbarrow.Announcement{})
+	assert.Equal(t, len(n.byStart), 0)
+	for i := range maxNotices + 10 {
+		n.Apply(now, sandbarrow.InstanceID(fmt.Sprint(i)), http.StatusOK, sandbarrow.Announcement{Draining: true})
+	}
+	assert.Equal(t, len(n.byStart), maxNotices)
+	draining, backoff := n.Count(now)
+	assert.Assert(t, draining == maxNotices && backoff == 0)
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/availability"
 	"sandbarrow.example/sandbarrow/crash"
 	"sandbarrow.example/sandbarrow/estate"
 	"sandbarrow.example/sandbarrow/internal/boottime"
@@ -43,6 +44,8 @@
 	limit float64
 	// last is the upstream that got the request last.
 	last sandbarrow.InstanceID
+	// notice is what that upstream had announced by then.
+	notice availability.Notice
 	// acquired is the time spent to pin adapters.
 	acquired time.Duration
 	// failure is an engine's own failure, passed on where no other engine answers.
--- a/gateway/calllog.go
+++ b/gateway/calllog.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/availability"
 )
 
 // maxLogged bounds a caller's text in a log line, in bytes: enough to recognise a host or path.
@@ -21,6 +22,9 @@
 	if c.digest != nil {
 		attrs = append(attrs, slog.String("fingerprint", c.digest.String()))
 	}
+	if id == c.last {
+		attrs = append(attrs, noticeAttributes(&c.notice)...)
+	}
 	attrs = append(attrs, e.attributes()...)
 	c.gateway.logger.LogAttrs(context.Background(), slog.LevelInfo, "attempt", attrs...)
 }
@@ -48,6 +52,7 @@
 	if c.limit > 0 {
 		attrs = append(attrs, slog.Float64("upstream_limit", c.limit))
 	}
+	attrs = append(attrs, noticeAttributes(&c.notice)...)
 	if c.workspace != nil {
 		attrs = append(attrs, slog.String("workspace", string(c.workspace.ID)))
 		attrs = append(attrs, c.quota.attributes()...)
@@ -72,6 +77,19 @@
 	return attrs
 }
 
+// noticeAttributes describe what an upstream had announced when it got the request; none where
+// that was nothing.
+func noticeAttributes(n *availability.Notice) []slog.Attr {
+	var attrs []slog.Attr
+	if n.Draining {
+		attrs = append(attrs, slog.Int64("upstream_draining_ms", n.DrainingFor.Milliseconds()))
+	}
+	if n.Backoff > 0 {
+		attrs = append(attrs, slog.Int64("upstream_backoff_ms", n.Backoff.Milliseconds()))
+	}
+	return attrs
+}
+
 // attributes describe an engine as it was seen when it was chosen, and what it was told to
 // take of the prompt; nil has none.
 func (e *candidate) attributes() []slog.Attr {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,6 +106,7 @@
 	metrics   *metrics
 	started   time.Time
 	stopping  atomic.Pointer[time.Time]
+	upstreams *upstreams
 	weights   *weightStore
 
 	mu      sync.Mutex
@@ -131,6 +132,7 @@
 	g.ends = newUpstreamEnds(g)
 	g.leads = newQuotaLeads(g)
 	g.limits = newUpstreamLimits(g)
+	g.upstreams = &upstreams{gateway: g}
 	c.Metrics.MustRegister(
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "sandbarrow_gateway_entries_refused_total", Help: "Entries in the list of upstreams that named none.",
@@ -138,6 +140,12 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "sandbarrow_gateway_limited_upstreams", Help: "Upstreams that name a limit on requests in their answers.",
 		}, g.limits.limited),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "sandbarrow_gateway_draining_upstreams", Help: "Upstreams that have announced in their answers that they drain.",
+		}, g.upstreams.draining),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "sandbarrow_gateway_backoff_upstreams", Help: "Upstreams that want no requests for a time, as they refused one with when to come back.",
+		}, g.upstreams.backingOff),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "sandbarrow_gateway_configuration_revision", Help: "The store's revision of the configuration in force; 0 before the first.",
 		}, g.revisionInForce),
--- a/gateway/limitedcall.go
+++ b/gateway/limitedcall.go
@@ -84,12 +84,15 @@
 
 // sentNow notes that the request leaves for an upstream, and returns when.
 func (c *call) sentNow(in *sandbarrow.Instance) time.Time {
+	now := boottime.Now()
+	c.notice = c.gateway.upstreams.notice(now, in.ID)
+	c.gateway.metrics.blockedSend(in.Service, &c.notice)
 	limit, limited := c.gateway.limits.inForce(in.ID)
 	c.limit = float64(limit.Rate)
 	if limited {
 		c.gateway.metrics.limitedSends.WithLabelValues(string(in.Service)).Inc()
 	}
-	return boottime.Now()
+	return now
 }
 
 // unserved is why no upstream was left for the call.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -5,10 +5,14 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/availability"
 )
 
 // metrics are the gateway's figures.
 type metrics struct {
+	blockedSends *prometheus.CounterVec
 	ends         *prometheus.CounterVec
 	first        *prometheus.HistogramVec
 	limitedAsks  *prometheus.CounterVec
@@ -23,6 +27,9 @@
 func newMetrics(r prometheus.Registerer) *metrics {
 	buckets := []float64{0.01, 0.03, 0.1, 0.2, 0.4, 0.7, 1, 2, 4, 8, 16}
 	m := &metrics{
+		blockedSends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sandbarrow_gateway_blocked_sends_total", Help: "Requests given to upstreams that had announced to accept none, by what they announced.",
+		}, []string{"service", "announced"}),
 		ends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sandbarrow_gateway_upstream_ends_total", Help: "Upstreams that were found to have ended under a request, by the evidence.",
 		}, []string{"service", "evidence"}),
@@ -51,10 +58,21 @@
 			Name: "sandbarrow_gateway_sent_total", Help: "Requests given to upstreams, by service and whether it was the first time.",
 		}, []string{"service", "first"}),
 	}
-	r.MustRegister(m.ends, m.first, m.limitedAsks, m.limitedSends, m.moves, m.quota, m.requests, m.seconds, m.sent)
+	r.MustRegister(m.blockedSends, m.ends, m.first, m.limitedAsks, m.limitedSends, m.moves, m.quota, m.requests, m.seconds, m.sent)
 	return m
 }
 
+// blockedSend counts a request that is given to an upstream, where that had announced to accept
+// none.
+func (m *metrics) blockedSend(service sandbarrow.ServiceID, n *availability.Notice) {
+	if n.Draining {
+		m.blockedSends.WithLabelValues(string(service), "draining").Inc()
+	}
+	if n.Backoff > 0 {
+		m.blockedSends.WithLabelValues(string(service), "backoff").Inc()
+	}
+}
+
 func (m *metrics) firstEvent(c *call, took time.Duration) {
 	m.first.WithLabelValues(string(c.service.ID)).Observe(took.Seconds())
 }
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -260,7 +260,7 @@
 		return c.end(ctx, verdictBroken, err)
 	}
 	defer a.Close()
-	c.gateway.limits.observe(e.instance, sent, a)
+	c.gateway.upstreams.observe(e.instance, sent, a)
 	if c.notRun(a) {
 		_, _ = a.Body(maxAnswerBytes) // read so that the connection can be kept
 		return c.end(ctx, verdictNotRun, errors.Errorf("status %d", a.Status))
--- a/gateway/serveplain.go
+++ b/gateway/serveplain.go
@@ -121,7 +121,7 @@
 		return nil, err
 	}
 	defer a.Close()
-	c.gateway.limits.observe(in, sent, a)
+	c.gateway.upstreams.observe(in, sent, a)
 	body, err := a.Body(maxAnswerBytes)
 	if err != nil {
 		return nil, err
--- a/gateway/upstreamlimits.go
+++ b/gateway/upstreamlimits.go
@@ -8,7 +8,6 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
-	"sandbarrow.example/sandbarrow/forward"
 	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/internal/pause"
 	"sandbarrow.example/sandbarrow/throttle"
@@ -58,19 +57,13 @@
 	return float64(u.gates.Limited())
 }
 
-// observe reads the limit that an upstream names in an answer to a request sent at a time. A
-// malformed answer says nothing.
-func (u *upstreamLimits) observe(in *sandbarrow.Instance, sent time.Time, a *forward.Answer) {
-	announced, err := u.gateway.config.Announcements.Read(a.Status, a.Header)
-	if err != nil {
-		u.gateway.logger.Warn("announcement of an upstream not read", "upstream", string(in.ID), "error", err.Error())
-		return
-	}
-	if announced.Limit == nil && !u.some.Load() {
+// observe applies the limit that an upstream names in an answer to a request sent at a time.
+func (u *upstreamLimits) observe(in *sandbarrow.Instance, sent time.Time, status int, named *sandbarrow.RequestRate) {
+	if named == nil && !u.some.Load() {
 		return
 	}
 	now := boottime.Now()
-	said, says := throttle.LimitOf(now, sent, a.Status, announced.Limit)
+	said, says := throttle.LimitOf(now, sent, status, named)
 	if !says {
 		return
 	}
