--- a/standin/engine.go
+++ b/standin/engine.go
@@ -212,6 +212,9 @@
 }
 
 func (e *Engine) serveRun(w http.ResponseWriter, r *http.Request) {
+	if e.backsOff(w, &e.log) {
+		return
+	}
 	raw, b, err := readRun(r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -12,10 +12,14 @@
 
 // Faults are the faults of one stand-in. Counts are used up one by one.
 type Faults struct {
+	// Backoff refuses each run and announces the text as when to come back; "" refuses none.
+	Backoff string `json:"backoff"`
 	// DelayMS holds each call back by milliseconds.
 	DelayMS int `json:"delay_ms"`
 	// Down cuts each call before it has any effect.
 	Down bool `json:"down"`
+	// Draining is announced in each answer as that the upstream drains; "" announces nothing.
+	Draining string `json:"draining"`
 	// FailLoads fails as many loads (engine).
 	FailLoads int `json:"fail_loads"`
 	// Fatal restarts the engine whenever a run of that tag begins (engine).
@@ -88,7 +92,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		if s.announcements != nil {
-			s.announcements.Write(w.Header(), sandbarrow.AnnouncementTexts{Limit: f.Limit})
+			s.announcements.Write(w.Header(), sandbarrow.AnnouncementTexts{Draining: f.Draining, Limit: f.Limit})
 		}
 		changes := r.Method != http.MethodGet
 		if changes && s.take(func(f *Faults) *int { return &f.LoseReplies }) {
@@ -99,6 +103,18 @@
 	})
 }
 
+// backsOff refuses a run where the faults say so.
+func (s *faultSwitch) backsOff(w http.ResponseWriter, l *runLog) bool {
+	f := s.get()
+	if f.Backoff == "" {
+		return false
+	}
+	l.addRefusal()
+	s.announcements.Write(w.Header(), sandbarrow.AnnouncementTexts{Backoff: f.Backoff})
+	http.Error(w, "no requests now", http.StatusServiceUnavailable)
+	return true
+}
+
 func (s *faultSwitch) serveSet(w http.ResponseWriter, r *http.Request) {
 	var f Faults
 	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
--- a/standin/plainservice.go
+++ b/standin/plainservice.go
@@ -38,6 +38,9 @@
 func (s *PlainService) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.handler.ServeHTTP(w, r) }
 
 func (s *PlainService) serve(w http.ResponseWriter, r *http.Request) {
+	if s.backsOff(w, &s.log) {
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/standin/runlog.go
+++ b/standin/runlog.go
@@ -23,7 +23,9 @@
 // Log is what an upstream has done.
 type Log struct {
 	Orders []OrderRecord `json:"orders"`
-	Runs   []Run         `json:"runs"`
+	// Refused counts the runs that were refused with when to come back.
+	Refused int   `json:"refused"`
+	Runs    []Run `json:"runs"`
 }
 
 type runLog struct {
@@ -37,6 +39,12 @@
 	l.log.Orders = append(l.log.Orders, o)
 }
 
+func (l *runLog) addRefusal() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.log.Refused++
+}
+
 func (l *runLog) addRun(r Run) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -46,7 +54,7 @@
 func (l *runLog) copy() Log {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Log{Orders: append([]OrderRecord(nil), l.log.Orders...), Runs: append([]Run(nil), l.log.Runs...)}
+	return Log{Orders: append([]OrderRecord(nil), l.log.Orders...), Refused: l.log.Refused, Runs: append([]Run(nil), l.log.Runs...)}
 }
 
 func (l *runLog) serve(w http.ResponseWriter, _ *http.Request) {
