Keep what is known of an upstream, and whether it accepts a request now, in one package

Package availability, without clock or lock, has the table and the decision (Look, Accepts, FindEnd); gateway/upstreams.go guards it. health moved there with its tests, endEvidence too.

--- a/health/health_test.go
+++ b/availability/outcomes_test.go
@@ -1,4 +1,4 @@
-package health
+package availability
 
 import (
 	"fmt"
@@ -12,7 +12,7 @@
 
 func TestFailuresCostAndFade(t *testing.T) {
 	now := time.Now()
-	var table Table
+	var table Outcomes
 	price := func() time.Duration {
 		_, penalty := table.Look(now, "a")
 		return penalty
@@ -40,7 +40,7 @@
 // forgotten, one that still runs a request is not.
 func TestGoneUpstreamsAreForgotten(t *testing.T) {
 	now := time.Now()
-	var table Table
+	var table Outcomes
 	for i := range 100 {
 		id := sandbarrow.InstanceID(fmt.Sprint(i))
 		table.Begin(now, id)
@@ -48,7 +48,7 @@
 			table.End(now, id, true)
 		}
 	}
-	now = now.Add(keepFor)
+	now = now.Add(keepOutcomes)
 	table.Begin(now, "new")
 	assert.Equal(t, len(table.upstreams), 2)
 	table.End(now, "0", true)
--- /dev/null
+++ b/availability/table_test.go
@@ -0,0 +1,53 @@
+package availability
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/throttle"
+)
+
+func TestLook(t *testing.T) {
+	now := time.Now()
+	ready := &sandbarrow.Instance{ID: upstream}
+	draining := &sandbarrow.Instance{Draining: true, ID: upstream}
+	for name, c := range map[string]struct {
+		in     *sandbarrow.Instance
+		report Report
+		know   func(*Table)
+		want   Look
+	}{
+		"nothing known":    {ready, Report{}, nil, Look{}},
+		"linked":           {ready, Report{Instance: upstream}, nil, Look{}},
+		"listed as such":   {draining, Report{}, nil, Look{Blocked: Draining}},
+		"reported as such": {ready, Report{Draining: true}, nil, Look{Blocked: Draining}},
+		"unreachable":      {ready, Report{Unreachable: true}, nil, Look{Blocked: Unreachable}},
+		"replaced":         {ready, Report{Instance: restart}, nil, Look{Blocked: Replaced}},
+		"in flight":        {ready, Report{}, func(x *Table) { x.Outcomes.Begin(now, upstream) }, Look{InFlight: 1}},
+		"its turn comes later": {ready, Report{}, func(x *Table) {
+			x.Gates.Apply(now, upstream, throttle.Limit{At: now, Rate: 0.5})
+			x.Gates.Begin(now, upstream)
+		}, Look{Blocked: Limited, Limited: true, Price: 100 * time.Millisecond, Wait: 2 * time.Second}},
+	} {
+		var table Table
+		if c.know != nil {
+			c.know(&table)
+		}
+		assert.Equal(t, table.Look(now, c.in, c.report), c.want, name)
+	}
+}
+
+func TestAccepts(t *testing.T) {
+	now := time.Now()
+	var table Table
+	for want, listed := range map[Reason]*sandbarrow.Instance{
+		"": {ID: upstream}, Draining: {Draining: true, ID: upstream}, Unlisted: nil,
+	} {
+		why, accepts := table.Accepts(now, listed)
+		assert.Equal(t, why, want)
+		assert.Equal(t, accepts, want == "")
+	}
+}
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -108,7 +108,7 @@
 	chosen := d.View().Service("s")
 	d.Update([]sandbarrow.KeyItem{item("a", 6, "s 1 leaving"), gone("b", 7)}, 7)
 	for i, want := range []bool{false, false, true, true} {
-		assert.Equal(t, d.View().Accepts(chosen[i]), want, "%s", chosen[i].ID)
+		assert.Equal(t, accepts(d, chosen[i]), want, "%s", chosen[i].ID)
 	}
 }
 
@@ -128,7 +128,7 @@
 	assert.Equal(t, chosen.ID, sandbarrow.InstanceID("b@100"))
 	d.newest = time.Time{}
 	change := d.Advance([]sandbarrow.KeyItem{item("b", 7, "s 2 @200")}, 7)
-	assert.Assert(t, !d.View().Accepts(chosen))
+	assert.Assert(t, !accepts(d, chosen))
 	assert.Equal(t, d.View().Service("s")[1].ID, sandbarrow.InstanceID("b@200"))
 	assert.Assert(t, !d.LastNew().IsZero())
 	assert.Equal(t, len(change.Items), 1, "other gateways need it")
@@ -145,3 +145,9 @@
 	d.Replace([]sandbarrow.KeyItem{item("a", 1, "s 1"), item("b", 6, "rubbish")}, 7)
 	assert.Equal(t, d.Refused()-before, uint64(1))
 }
+
+// accepts reports whether an upstream is still listed and does not drain.
+func accepts(d *Directory, in *sandbarrow.Instance) bool {
+	listed := d.View().Find(in)
+	return listed != nil && !listed.Draining
+}
--- a/directory/view.go
+++ b/directory/view.go
@@ -7,14 +7,14 @@
 	byService map[sandbarrow.ServiceID][]*sandbarrow.Instance
 }
 
-// Accepts reports whether an upstream is still listed and accepts new work.
-func (v *View) Accepts(in *sandbarrow.Instance) bool {
+// Find returns an upstream's entry as it is now, or nil where it has left the list.
+func (v *View) Find(in *sandbarrow.Instance) *sandbarrow.Instance {
 	for _, other := range v.Service(in.Service) {
 		if other.ID == in.ID {
-			return !other.Draining
+			return other
 		}
 	}
-	return false
+	return nil
 }
 
 // At returns the upstream that is listed at an address, or nil.
--- a/gateway/candidate.go
+++ b/gateway/candidate.go
@@ -52,31 +52,21 @@
 	first := rand.IntN(max(1, len(members)))
 	for i := range members {
 		m := &members[(first+i)%len(members)]
-		if m.instance.Draining || excluded[m.instance.ID] {
-			continue
-		}
-		price, may := c.mayChoose(now, m.instance.ID)
-		if !may {
+		if excluded[m.instance.ID] {
 			continue
 		}
 		e := candidate{instance: m.instance, link: m.link, linkView: m.link.view(now, c)}
-		if e.linked && (e.status.Draining || e.status.EngineUnreachable || e.isOldInstance()) {
+		look := c.look(now, m.instance, e.report())
+		if look.Blocked != "" {
 			continue
 		}
 		e.remote = m.instance.FailureDomain != g.config.Domain
-		e.inFlight, e.cost = g.health.look(now, m.instance.ID)
-		e.cost += price
+		e.inFlight, e.cost = look.InFlight, look.Price
 		list = append(list, e)
 	}
 	return list
 }
 
-// isOldInstance reports whether the engine has restarted and the list does not show it
-// yet: it would refuse what names the instance of the list, at the price of a retry.
-func (e *candidate) isOldInstance() bool {
-	return e.status.Instance != "" && e.status.Instance != e.instance.ID
-}
-
 // holds reports whether the engine has what the request needs, or loads it.
 func (e *candidate) holds(n *need) bool {
 	if !e.linked {
--- a/gateway/controllerlink.go
+++ b/gateway/controllerlink.go
@@ -148,7 +148,7 @@
 			return nil, err
 		}
 		for _, told := range m.Records {
-			l.gateway.limits.learn(told)
+			l.gateway.upstreams.learnLimit(told)
 		}
 		return nil, nil
 	case enginelink.MethodListed:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,8 +12,8 @@
 // The rules, each in a file of its own: choose.go and enginecost.go (which engine),
 // serveplain.go (which plain upstream), earlyrefusal.go (who is refused at once),
 // retryrule.go and retrybudget.go (what is sent again, and when it is given up),
-// endsupstreams.go (what is sent to no upstream any more), limitedcall.go (what upstreams in
-// need still take), progress.go (which stream is stalled), priority.go (what an engine reads first),
+// endsupstreams.go (what is sent to no upstream any more), limitedcall.go (which upstreams
+// accept a request now, by package availability), progress.go (which stream is stalled), priority.go (what an engine reads first),
 // engines.go (when this gateway is cut off), stop.go (a planned stop). docs/DECISIONS.md lists them by question.
 package gateway
 
@@ -98,12 +98,11 @@
 	ends      *upstreamEnds
 	engines   *engines
 	estate    *estate.Estate
-	health    upstreamHealth
 	leads     *quotaLeads
-	limits    *upstreamLimits
 	list      *listAnswer
 	logger    *slog.Logger
 	metrics   *metrics
+	permits   *sendPermits
 	started   time.Time
 	stopping  atomic.Pointer[time.Time]
 	upstreams *upstreams
@@ -131,7 +130,7 @@
 	g.engines = newEngines(g)
 	g.ends = newUpstreamEnds(g)
 	g.leads = newQuotaLeads(g)
-	g.limits = newUpstreamLimits(g)
+	g.permits = newSendPermits(g)
 	g.upstreams = &upstreams{gateway: g}
 	c.Metrics.MustRegister(
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
@@ -139,7 +138,7 @@
 		}, func() float64 { return float64(g.directory.Refused()) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "sandbarrow_gateway_limited_upstreams", Help: "Upstreams that name a limit on requests in their answers.",
-		}, g.limits.limited),
+		}, g.upstreams.limited),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "sandbarrow_gateway_draining_upstreams", Help: "Upstreams that have announced in their answers that they drain.",
 		}, g.upstreams.draining),
@@ -185,7 +184,7 @@
 	group.Go(func() error { return g.engines.run(work) })
 	group.Go(func() error { return g.learnFromPeers(work) })
 	group.Go(func() error { return g.leads.run(work) })
-	group.Go(func() error { return g.limits.run(work) })
+	group.Go(func() error { return g.permits.run(work) })
 	group.Go(func() error { return g.confirmLoop(work) })
 	group.Go(func() error {
 		defer end()
--- a/gateway/limitedcall.go
+++ b/gateway/limitedcall.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/availability"
 	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/throttle"
 )
@@ -44,18 +45,17 @@
 	return max(w.free, leastReturn) + rand.N(min(max(w.free, retryAfter), mostSpread))
 }
 
-// mayChoose reports whether an upstream takes a request now, with the price of one that names
-// a limit.
-func (c *call) mayChoose(now time.Time, id sandbarrow.InstanceID) (price time.Duration, may bool) {
-	wait, price := c.gateway.limits.look(now, id)
-	if wait > 0 {
-		c.limited.note(wait)
-		return 0, false
-	}
-	if price == 0 {
+// look decides whether the request may be sent to an upstream now. It notes one that takes it
+// later.
+func (c *call) look(now time.Time, in *sandbarrow.Instance, r availability.Report) availability.Look {
+	l := c.gateway.upstreams.look(now, in, r)
+	switch {
+	case l.Blocked == availability.Limited:
+		c.limited.note(l.Wait)
+	case l.Blocked == "" && !l.Limited:
 		c.limited.others = true
 	}
-	return price, true
+	return l
 }
 
 // permitSend asks for a send to an upstream. Where it takes no request now, the call looks for
@@ -65,10 +65,9 @@
 	if c.limited.others {
 		within = 0
 	}
-	permit, granted := c.gateway.limits.acquire(ctx, in, within)
+	permit, granted := c.gateway.permits.acquire(ctx, in, within)
 	if !granted {
-		wait, _ := c.gateway.limits.look(boottime.Now(), in.ID)
-		c.limited.note(wait)
+		c.limited.note(c.gateway.upstreams.look(boottime.Now(), in, availability.Report{}).Wait)
 	}
 	return permit, granted
 }
@@ -76,7 +75,7 @@
 // renewPermit asks for a send where the upstream has named a limit since it was permitted: the
 // call may have waited long for its adapter.
 func (c *call) renewPermit(ctx context.Context, in *sandbarrow.Instance, p *sendPermit) (*sendPermit, bool) {
-	if p.limits != nil {
+	if p.permits != nil {
 		return p, true
 	}
 	return c.permitSend(ctx, in)
@@ -87,7 +86,7 @@
 	now := boottime.Now()
 	c.notice = c.gateway.upstreams.notice(now, in.ID)
 	c.gateway.metrics.blockedSend(in.Service, &c.notice)
-	limit, limited := c.gateway.limits.inForce(in.ID)
+	limit, limited := c.gateway.upstreams.limitInForce(in.ID)
 	c.limit = float64(limit.Rate)
 	if limited {
 		c.gateway.metrics.limitedSends.WithLabelValues(string(in.Service)).Inc()
--- a/gateway/linkstate.go
+++ b/gateway/linkstate.go
@@ -7,6 +7,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/availability"
 	"sandbarrow.example/sandbarrow/enginelink"
 	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/promptcache"
@@ -51,6 +52,20 @@
 	weights sandbarrow.WeightsVersion
 }
 
+// report is what the engine's controller has reported last.
+func (v *linkView) report() availability.Report {
+	return reportOf(&v.status, v.linked)
+}
+
+// reportOf is what a controller's status says of whether its engine accepts requests; nothing
+// where the controller is not linked.
+func reportOf(s *enginelink.Status, linked bool) availability.Report {
+	if !linked {
+		return availability.Report{}
+	}
+	return availability.Report{Draining: s.Draining, Instance: s.Instance, Unreachable: s.EngineUnreachable}
+}
+
 // view looks at the engine on behalf of a call. A nil link is not linked.
 func (l *controllerLink) view(now time.Time, c *call) linkView {
 	if l == nil {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -56,9 +56,9 @@
 			}
 			return g.list.since(known.Revision)
 		}
-		if answer, changed, handled, err := g.limits.kept.Handle(r); handled {
+		if answer, changed, handled, err := g.permits.kept.Handle(r); handled {
 			if changed != nil {
-				g.limits.learn(*changed)
+				g.upstreams.learnLimit(*changed)
 			}
 			return answer, err
 		}
--- a/gateway/sendkeepers.go
+++ b/gateway/sendkeepers.go
@@ -42,7 +42,7 @@
 // to them; else the peers; else this gateway grants its part alone. It is safe for concurrent
 // use.
 type sendKeepers struct {
-	limits  *upstreamLimits
+	permits *sendPermits
 	reports chan struct{}
 
 	mu      sync.Mutex
@@ -50,8 +50,8 @@
 	suspect map[string]time.Time
 }
 
-func newSendKeepers(u *upstreamLimits) *sendKeepers {
-	return &sendKeepers{limits: u, peers: map[string]*peerLink{}, reports: make(chan struct{}, reportsAtOnce), suspect: map[string]time.Time{}}
+func newSendKeepers(p *sendPermits) *sendKeepers {
+	return &sendKeepers{permits: p, peers: map[string]*peerLink{}, reports: make(chan struct{}, reportsAtOnce), suspect: map[string]time.Time{}}
 }
 
 // run closes connections to peers that rest, until ctx ends, and then all.
@@ -81,7 +81,7 @@
 func (k *sendKeepers) ask(ctx context.Context, q enginelink.Send) enginelink.SendGrant {
 	list := k.answering(k.of(q.Instance))
 	if len(list) == 0 {
-		list = []sendKeeper{aloneKeeper{k.limits.alone}}
+		list = []sendKeeper{aloneKeeper{k.permits.alone}}
 	}
 	for _, keeper := range list[:min(len(list), keepersPerLimit)] {
 		grant, err := keeper.send(ctx, q)
@@ -121,7 +121,7 @@
 // of returns the processes that may grant sends to an upstream, the preferred first.
 func (k *sendKeepers) of(id sandbarrow.InstanceID) []sendKeeper {
 	var list []sendKeeper
-	for _, l := range k.limits.gateway.engines.upLinks(boottime.Now()) {
+	for _, l := range k.permits.gateway.engines.upLinks(boottime.Now()) {
 		list = append(list, l)
 	}
 	if len(k.answering(list)) == 0 {
@@ -135,13 +135,13 @@
 
 // peerKeepers are the peers, this gateway among them where it is one.
 func (k *sendKeepers) peerKeepers() []sendKeeper {
-	c := &k.limits.gateway.config
+	c := &k.permits.gateway.config
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var list []sendKeeper
 	for _, address := range c.Peers {
 		if address == c.PeerAddress {
-			list = append(list, ownKeeper{address: address, limits: k.limits})
+			list = append(list, ownKeeper{address: address, permits: k.permits})
 			continue
 		}
 		if k.peers[address] == nil {
@@ -162,7 +162,7 @@
 
 // doubt notes that a process did not answer.
 func (k *sendKeepers) doubt(s sendKeeper, err error) {
-	k.limits.gateway.logger.Info("keeper of upstreams' limits did not answer", "keeper", s.name(), "error", err.Error())
+	k.permits.gateway.logger.Info("keeper of upstreams' limits did not answer", "keeper", s.name(), "error", err.Error())
 	now := boottime.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -177,17 +177,17 @@
 // ownKeeper is this gateway as one that its peers ask.
 type ownKeeper struct {
 	address string
-	limits  *upstreamLimits
+	permits *sendPermits
 }
 
 func (o ownKeeper) name() string { return o.address }
 
 func (o ownKeeper) send(_ context.Context, q enginelink.Send) (enginelink.SendGrant, error) {
-	grant, _ := o.limits.kept.Send(&q)
+	grant, _ := o.permits.kept.Send(&q)
 	return grant, nil
 }
 
-func (o ownKeeper) sent(s enginelink.Sent) { o.limits.kept.Sent(&s) }
+func (o ownKeeper) sent(s enginelink.Sent) { o.permits.kept.Sent(&s) }
 
 // aloneKeeper is this gateway where it reaches no other process.
 type aloneKeeper struct{ keeper *enginelink.SendKeeper }
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -133,7 +133,7 @@
 		c.logAttempt(e.instance.ID, "no-grant", string(grant.Refused), e)
 		return 0, false
 	}
-	if !c.gateway.directory.View().Accepts(e.instance) {
+	if !c.gateway.upstreams.accepts(e.instance) {
 		c.unpin(e) // it began to drain while the adapter was loaded
 		s.why = reasonNoUpstream
 		return 0, false
@@ -236,14 +236,14 @@
 		defer func() { e.link.addTokens(c.priority(), -c.unread) }()
 	}
 	go c.watchProgress(ctx, cancel, e, p)
-	c.gateway.health.begin(e.instance.ID)
+	c.gateway.upstreams.begin(e.instance.ID)
 	result := c.runEngine(ctx, e, version, p)
 	c.gateway.crashes.Attempted()
 	if result == verdictBroken && !p.proven {
 		c.noteBroken(ctx, e.instance)
 	}
 	failed := result == verdictBroken && c.request.Context().Err() == nil || result == verdictFailed || result == verdictNotSent
-	c.gateway.health.end(e.instance.ID, failed)
+	c.gateway.upstreams.end(e.instance.ID, failed)
 	return result
 }
 
--- a/gateway/serveplain.go
+++ b/gateway/serveplain.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/availability"
 	"sandbarrow.example/sandbarrow/forward"
 	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/route"
@@ -98,14 +99,14 @@
 		ctx, cancel = context.WithTimeout(ctx, hedgeObjectives*c.route.Objective)
 		defer cancel()
 	}
-	c.gateway.health.begin(in.ID)
+	c.gateway.upstreams.begin(in.ID)
 	got, err := c.exchange(ctx, in)
 	if err != nil && !errors.Is(err, forward.ErrNotSent) {
 		c.noteBroken(ctx, in)
 	}
 	c.gateway.crashes.Attempted()
 	left := c.request.Context().Err() != nil
-	c.gateway.health.end(in.ID, !left && (err != nil || got.answer.Status >= http.StatusInternalServerError))
+	c.gateway.upstreams.end(in.ID, !left && (err != nil || got.answer.Status >= http.StatusInternalServerError))
 	return got, err
 }
 
@@ -132,25 +133,23 @@
 // choosePlain decides which upstream of a plain service gets a request: the one
 // with the least expected delay, or nil.
 //
-// Inputs: this gateway's requests in flight there for each slot, the penalty for
-// recent failures, whether it takes requests now by the limit that it names, and the failure
-// domain. The load from other gateways is not known.
+// Inputs: whether it accepts requests now, this gateway's requests in flight there for each slot,
+// the penalty for recent failures, and the failure domain. The load from other gateways is not
+// known.
 func (g *Gateway) choosePlain(c *call, excluded map[sandbarrow.InstanceID]bool) *sandbarrow.Instance {
 	now := boottime.Now()
 	c.limited.others = false
 	var best *sandbarrow.Instance
 	var bestCost time.Duration
 	for _, in := range g.directory.View().Service(c.service.ID) {
-		if in.Draining || excluded[in.ID] {
+		if excluded[in.ID] {
 			continue
 		}
-		price, may := c.mayChoose(now, in.ID)
-		if !may {
+		look := c.look(now, in, availability.Report{})
+		if look.Blocked != "" {
 			continue
 		}
-		inFlight, cost := g.health.look(now, in.ID)
-		cost += price
-		cost += time.Duration(inFlight) * serviceDelay / time.Duration(max(1, in.Slots))
+		cost := look.Price + time.Duration(look.InFlight)*serviceDelay/time.Duration(max(1, in.Slots))
 		if in.FailureDomain != g.config.Domain {
 			cost += domainDelay
 		}
--- a/gateway/upstreamend.go
+++ b/gateway/upstreamend.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/availability"
 	"sandbarrow.example/sandbarrow/crash"
 	"sandbarrow.example/sandbarrow/forward"
 	"sandbarrow.example/sandbarrow/internal/boottime"
@@ -37,21 +38,6 @@
 	provenRun = 500 * time.Millisecond
 )
 
-// endEvidence says how it is known that an upstream has ended.
-type endEvidence string
-
-// The kinds of evidence.
-const (
-	// endRefused means that nothing listens at its address any more.
-	endRefused endEvidence = "refused"
-	// endReplaced means that another start of an upstream is listed at its address.
-	endReplaced endEvidence = "replaced"
-	// endMisdirected means that another start of an upstream answers at its address.
-	endMisdirected endEvidence = "misdirected"
-	// endRestarted means that its controller has seen another start.
-	endRestarted endEvidence = "restarted"
-)
-
 // brokenAttempt is an attempt whose connection ended without a complete answer.
 type brokenAttempt struct {
 	at      time.Time
@@ -65,7 +51,7 @@
 	// dialled is closed once the upstream's address has been dialled.
 	dialled chan struct{}
 	// evidence and broken are guarded by the mutex of upstreamEnds.
-	evidence endEvidence
+	evidence availability.EndEvidence
 	broken   []brokenAttempt
 }
 
@@ -115,7 +101,7 @@
 	l := u.looks[in.ID]
 	u.mu.Unlock()
 	if l != nil {
-		u.conclude(l, endMisdirected)
+		u.conclude(l, availability.EndMisdirected)
 	}
 }
 
@@ -135,12 +121,12 @@
 func (u *upstreamEnds) look(ctx context.Context, l *endLook) {
 	began := time.Now()
 	until := began.Add(endWindow)
-	var evidence endEvidence
+	var evidence availability.EndEvidence
 	switch listening.Dial(ctx, l.instance.Address, forward.DialTimeout) {
 	case listening.Listens:
 		until = began.Add(aliveWindow)
 	case listening.Refuses:
-		evidence = endRefused
+		evidence = availability.EndRefused
 	}
 	u.conclude(l, evidence)
 	close(l.dialled)
@@ -160,14 +146,14 @@
 }
 
 // evidenceOf is the evidence that a look has found so far.
-func (u *upstreamEnds) evidenceOf(l *endLook) endEvidence {
+func (u *upstreamEnds) evidenceOf(l *endLook) availability.EndEvidence {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return l.evidence
 }
 
 // conclude notes evidence, if there is any, against the attempts that broke so far.
-func (u *upstreamEnds) conclude(l *endLook, evidence endEvidence) {
+func (u *upstreamEnds) conclude(l *endLook, evidence availability.EndEvidence) {
 	if evidence == "" {
 		return
 	}
@@ -199,15 +185,9 @@
 
 // restarted looks for another start of an upstream, in the list and in the reports of its
 // controller.
-func (u *upstreamEnds) restarted(in *sandbarrow.Instance) endEvidence {
-	if listed := u.gateway.directory.View().At(in.Address); listed != nil && !listed.ID.Is(in.ID) {
-		return endReplaced
-	}
+func (u *upstreamEnds) restarted(in *sandbarrow.Instance) availability.EndEvidence {
 	status, linked := u.gateway.engines.link(in.Address).lastStatus(boottime.Now())
-	if linked && status.Instance != "" && !status.Instance.Is(in.ID) {
-		return endRestarted
-	}
-	return ""
+	return availability.FindEnd(in, u.gateway.directory.View().At(in.Address), reportOf(&status, linked))
 }
 
 // noteBroken notes that the upstream may have ended under the attempt, unless this gateway
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -2,21 +2,56 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/availability"
+	"sandbarrow.example/sandbarrow/enginelink"
 	"sandbarrow.example/sandbarrow/forward"
 	"sandbarrow.example/sandbarrow/internal/boottime"
+	"sandbarrow.example/sandbarrow/throttle"
 )
 
-// upstreams is what this gateway knows of upstreams by their answers. It is safe for concurrent
+// upstreams is what this gateway knows of upstreams, beside the list. It is safe for concurrent
 // use.
 type upstreams struct {
 	gateway *Gateway
+	// limits says that a limit is known, so that nothing need be looked up where none is.
+	limits atomic.Bool
 
-	mu      sync.Mutex
-	notices availability.Notices
+	mu    sync.Mutex
+	table availability.Table
+}
+
+// look decides whether a request may be sent to an upstream now, and else when.
+func (u *upstreams) look(now time.Time, in *sandbarrow.Instance, r availability.Report) availability.Look {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.table.Look(now, in, r)
+}
+
+// accepts decides whether a request that chose an upstream a while ago may still be sent there.
+func (u *upstreams) accepts(in *sandbarrow.Instance) bool {
+	listed := u.gateway.directory.View().Find(in)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	_, accepts := u.table.Accepts(boottime.Now(), listed)
+	return accepts
+}
+
+// begin counts a request that is sent.
+func (u *upstreams) begin(id sandbarrow.InstanceID) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.table.Outcomes.Begin(boottime.Now(), id)
+}
+
+// end counts the outcome of a request.
+func (u *upstreams) end(id sandbarrow.InstanceID, failed bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.table.Outcomes.End(boottime.Now(), id, failed)
 }
 
 // observe reads what an upstream announces in its answer to a request sent at a time.
@@ -25,10 +60,10 @@
 	if err != nil {
 		u.gateway.logger.Warn("announcement of an upstream not read", "upstream", string(in.ID), "error", err.Error())
 	} else {
-		u.gateway.limits.observe(in, sent, a.Status, announced.Limit)
+		u.observeLimit(in.ID, sent, a.Status, announced.Limit)
 	}
 	u.mu.Lock()
-	change := u.notices.Apply(boottime.Now(), in.ID, a.Status, announced)
+	change := u.table.Notices.Apply(boottime.Now(), in.ID, a.Status, announced)
 	u.mu.Unlock()
 	if change.Draining {
 		u.gateway.logger.Info("upstream announces that it drains", "upstream", string(in.ID), "address", in.Address, "listed_draining", in.Draining)
@@ -38,18 +73,91 @@
 	}
 }
 
+// observeLimit applies the limit that an upstream names in an answer; nil where it names none.
+func (u *upstreams) observeLimit(id sandbarrow.InstanceID, sent time.Time, status int, named *sandbarrow.RequestRate) {
+	if named == nil && !u.limits.Load() {
+		return
+	}
+	now := boottime.Now()
+	said, says := throttle.LimitOf(now, sent, status, named)
+	if !says {
+		return
+	}
+	u.mu.Lock()
+	changed := u.table.Gates.Apply(now, id, said)
+	u.limits.Store(!u.table.Gates.Empty())
+	record, _ := u.table.Gates.Record(now, id)
+	u.mu.Unlock()
+	if changed {
+		u.logLimit(record)
+		u.gateway.permits.keepers.report(nil, enginelink.Sent{Record: record})
+	}
+}
+
+// learnLimit applies what others say of an upstream's limit.
+func (u *upstreams) learnLimit(r throttle.Record) {
+	u.mu.Lock()
+	changed := u.table.Gates.Merge(boottime.Now(), r)
+	u.limits.Store(!u.table.Gates.Empty())
+	u.mu.Unlock()
+	if changed {
+		u.logLimit(r)
+	}
+}
+
+func (u *upstreams) logLimit(r throttle.Record) {
+	u.gateway.logger.Info("limit of an upstream", "upstream", string(r.Instance), "rate", float64(r.Rate), "ended", r.Ended, "age_ms", r.AgeMS)
+}
+
+// limitInForce returns the limit that an upstream names, or false.
+func (u *upstreams) limitInForce(id sandbarrow.InstanceID) (throttle.Limit, bool) {
+	if !u.limits.Load() {
+		return throttle.Limit{}, false
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.table.Gates.InForce(boottime.Now(), id)
+}
+
+// beginAsk notes that a request asks for a send, where it needs to and may.
+func (u *upstreams) beginAsk(id sandbarrow.InstanceID) (record throttle.Record, need, may bool) {
+	if !u.limits.Load() {
+		return record, false, true
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.table.Gates.Begin(boottime.Now(), id)
+}
+
+// endAsk notes what came of asking for a send within a time.
+func (u *upstreams) endAsk(id sandbarrow.InstanceID, g *enginelink.SendGrant, within time.Duration) {
+	if g.Limit != nil {
+		u.learnLimit(*g.Limit)
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.table.Gates.End(boottime.Now(), id, throttle.Grant{Granted: g.Granted, Wait: time.Duration(g.WaitMS) * time.Millisecond}, within)
+}
+
 // notice returns what an upstream has announced.
 func (u *upstreams) notice(now time.Time, id sandbarrow.InstanceID) availability.Notice {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.notices.Look(now, id)
+	return u.table.Notices.Look(now, id)
+}
+
+// limited counts the upstreams that name a limit.
+func (u *upstreams) limited() float64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return float64(u.table.Gates.Limited())
 }
 
 // draining counts the upstreams that have announced that they drain.
 func (u *upstreams) draining() float64 {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	n, _ := u.notices.Count(boottime.Now())
+	n, _ := u.table.Notices.Count(boottime.Now())
 	return float64(n)
 }
 
@@ -57,6 +165,6 @@
 func (u *upstreams) backingOff() float64 {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	_, n := u.notices.Count(boottime.Now())
+	_, n := u.table.Notices.Count(boottime.Now())
 	return float64(n)
 }
