Send nothing to an upstream that has announced in an answer that it drains

Cause: nobody read the announcement. Only the list ended the sends, and while the store is down the list says that the upstream is ready.

It lasts for that start of the upstream; another one, or an entry that was listed as draining and is ready again, begins with none. An upstream that ends so has ended as planned, not under its requests; one that accepts nothing is no source of prompt memory. Where all drain, engines are not awaited and the request is refused at once.

--- a/availability/notices.go
+++ b/availability/notices.go
@@ -32,6 +32,8 @@
 type notice struct {
 	// backoffUntil and drainingSince are zero where it has announced neither.
 	backoffUntil, drainingSince time.Time
+	// listed says that the list has shown that it drains too.
+	listed bool
 	// used is when the notice was last announced or looked at.
 	used time.Time
 }
@@ -86,6 +88,23 @@
 	return l
 }
 
+// drains reports whether an upstream drains, by its entry in the list or by its own word. The list
+// may lag, or never show it; once it has, an entry that is ready again is that of another start,
+// also where neither says when it started.
+func (n *Notices) drains(now time.Time, in *sandbarrow.Instance) bool {
+	e := n.byStart[in.ID]
+	if e == nil || e.drainingSince.IsZero() {
+		return in.Draining
+	}
+	e.used = now
+	if e.listed && !in.Draining {
+		e.drainingSince, e.listed = time.Time{}, false
+		return false
+	}
+	e.listed = in.Draining
+	return true
+}
+
 // Count counts the upstreams that have announced that they drain, and those that want no
 // requests now.
 func (n *Notices) Count(now time.Time) (draining, backoff int) {
--- a/availability/table.go
+++ b/availability/table.go
@@ -12,7 +12,7 @@
 
 // The reasons.
 const (
-	// Draining is an upstream that ends soon, as the list or its controller says.
+	// Draining is an upstream that ends soon, as the list, its controller or itself says.
 	Draining Reason = "draining"
 	// Limited is an upstream that has had what it accepts by its limit.
 	Limited Reason = "limit"
@@ -63,7 +63,7 @@
 	wait, price := t.Gates.Look(now, in.ID)
 	l := Look{Limited: price != 0, Price: price}
 	switch {
-	case in.Draining || r.Draining:
+	case r.Draining || t.Notices.drains(now, in):
 		l.Blocked = Draining
 	case r.Unreachable:
 		l.Blocked = Unreachable
@@ -87,7 +87,7 @@
 	switch {
 	case listed == nil:
 		return Unlisted, false
-	case listed.Draining:
+	case t.Notices.drains(now, listed):
 		return Draining, false
 	}
 	return "", true
--- a/availability/table_test.go
+++ b/availability/table_test.go
@@ -1,6 +1,7 @@
 package availability
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -24,9 +25,15 @@
 		"linked":           {ready, Report{Instance: upstream}, nil, Look{}},
 		"listed as such":   {draining, Report{}, nil, Look{Blocked: Draining}},
 		"reported as such": {ready, Report{Draining: true}, nil, Look{Blocked: Draining}},
-		"unreachable":      {ready, Report{Unreachable: true}, nil, Look{Blocked: Unreachable}},
-		"replaced":         {ready, Report{Instance: restart}, nil, Look{Blocked: Replaced}},
-		"in flight":        {ready, Report{}, func(x *Table) { x.Outcomes.Begin(now, upstream) }, Look{InFlight: 1}},
+		"it says so itself": {ready, Report{}, func(x *Table) {
+			x.Notices.Apply(now, upstream, http.StatusOK, sandbarrow.Announcement{Draining: true})
+		}, Look{Blocked: Draining}},
+		"its last start said so": {ready, Report{}, func(x *Table) {
+			x.Notices.Apply(now, restart, http.StatusOK, sandbarrow.Announcement{Draining: true})
+		}, Look{}},
+		"unreachable": {ready, Report{Unreachable: true}, nil, Look{Blocked: Unreachable}},
+		"replaced":    {ready, Report{Instance: restart}, nil, Look{Blocked: Replaced}},
+		"in flight":   {ready, Report{}, func(x *Table) { x.Outcomes.Begin(now, upstream) }, Look{InFlight: 1}},
 		"its turn comes later": {ready, Report{}, func(x *Table) {
 			x.Gates.Apply(now, upstream, throttle.Limit{At: now, Rate: 0.5})
 			x.Gates.Begin(now, upstream)
@@ -50,4 +57,19 @@
 		assert.Equal(t, why, want)
 		assert.Equal(t, accepts, want == "")
 	}
+	table.Notices.Apply(now, upstream, http.StatusOK, sandbarrow.Announcement{Draining: true})
+	why, _ := table.Accepts(now, &sandbarrow.Instance{ID: upstream})
+	assert.Equal(t, why, Draining)
+}
+
+func TestUpstreamThatIsListedReadyAgainDrainsNoMore(t *testing.T) {
+	now := time.Now()
+	for _, id := range []sandbarrow.InstanceID{"u", upstream} {
+		var table Table
+		table.Notices.Apply(now, id, http.StatusOK, sandbarrow.Announcement{Draining: true})
+		ready, draining := &sandbarrow.Instance{ID: id}, &sandbarrow.Instance{Draining: true, ID: id}
+		assert.Equal(t, table.Look(now, ready, Report{}).Blocked, Draining, "the list lags")
+		assert.Equal(t, table.Look(now, draining, Report{}).Blocked, Draining)
+		assert.Equal(t, table.Look(now, ready, Report{}).Blocked, Reason(""), "it has started again")
+	}
 }
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -32,6 +32,9 @@
 	ID       string
 	IDHeader string
 	Method   string
+	// MayLeave is asked right before the request leaves, after a connection has come about; false
+	// ends the send as ErrNotSent. nil sends in any case.
+	MayLeave func() bool
 	// Target is the path and query, unaltered.
 	Target string
 }
@@ -58,6 +61,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.MayLeave != nil && !r.MayLeave() {
+		_ = c.Close()
+		return nil, errors.Annotate(ErrNotSent, "withheld")
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	a := &Answer{conn: c, pool: p, release: stop}
 	if err := a.write(r); err != nil {
--- a/forward/exchange_test.go
+++ b/forward/exchange_test.go
@@ -251,3 +251,25 @@
 	assert.Equal(t, idleTime(http.Header{"Keep-Alive": {"max=10"}}), time.Duration(0))
 	assert.Equal(t, idleTime(http.Header{}), time.Duration(0))
 }
+
+func TestWithheldRequestDoesNotLeave(t *testing.T) {
+	var mu sync.Mutex
+	arrived := 0
+	p := upstream(t, func(c net.Conn, id string, _ int) {
+		mu.Lock()
+		arrived++
+		mu.Unlock()
+		write(c, whole(id, "one"))
+	})
+	r := request("1")
+	r.MayLeave = func() bool { return false }
+	_, err := p.Send(t.Context(), r)
+	assert.Assert(t, errors.Is(err, ErrNotSent), "%v", err)
+	r.MayLeave = func() bool { return true }
+	a, err := p.Send(t.Context(), r)
+	assert.NilError(t, err)
+	a.Close()
+	mu.Lock()
+	defer mu.Unlock()
+	assert.Equal(t, arrived, 1)
+}
--- a/gateway/limitedcall.go
+++ b/gateway/blocked.go
@@ -11,22 +11,48 @@
 	"sandbarrow.example/sandbarrow/throttle"
 )
 
-// limitWait is what a call has seen of upstreams that take no request now.
-type limitWait struct {
-	// free is how long it is until the first of them takes one.
-	free time.Duration
-	// others says that the last choice was among upstreams that name no limit too.
+// blockedUpstreams is what a call has seen of upstreams that accept no request now.
+type blockedUpstreams struct {
+	// accepts is when the first of them accepts one; zero where none says so.
+	accepts time.Time
+	// draining says that the last choice has met an upstream that drains, rest that it has met
+	// one that does not.
+	draining, rest bool
+	// others says that the last choice has met one that accepts requests and names no limit.
 	others bool
-	// seen says that there was any that takes no request now.
-	seen bool
 }
 
-// note notes an upstream that takes no request for a time.
-func (w *limitWait) note(free time.Duration) {
-	if !w.seen || free < w.free {
-		w.free = free
+// choose begins a new choice.
+func (b *blockedUpstreams) choose() {
+	b.draining, b.rest, b.others = false, false, false
+}
+
+// note notes a look at an upstream.
+func (b *blockedUpstreams) note(now time.Time, l *availability.Look) {
+	if l.Wait > 0 {
+		b.noteFree(now.Add(l.Wait))
+	}
+	if l.Blocked == availability.Draining {
+		b.draining = true
+		return
+	}
+	b.rest = true
+	if l.Blocked == "" && !l.Limited {
+		b.others = true
+	}
+}
+
+// noteFree notes when an upstream accepts a request.
+func (b *blockedUpstreams) noteFree(at time.Time) {
+	if b.accepts.IsZero() || at.Before(b.accepts) {
+		b.accepts = at
 	}
-	w.seen = true
+}
+
+// decisive reports whether it is no use to wait for an upstream to appear: one accepts a request
+// at a time that is known, or all drain.
+func (b *blockedUpstreams) decisive() bool {
+	return !b.accepts.IsZero() || b.draining && !b.rest
 }
 
 const (
@@ -41,20 +67,15 @@
 
 // retryAfter is when the caller is told to come back: not before an upstream takes a request,
 // and spread, since one of those that come then is served.
-func (w *limitWait) retryAfter() time.Duration {
-	return max(w.free, leastReturn) + rand.N(min(max(w.free, retryAfter), mostSpread))
+func (b *blockedUpstreams) retryAfter(now time.Time) time.Duration {
+	wait := max(b.accepts.Sub(now), leastReturn)
+	return wait + rand.N(min(max(wait, retryAfter), mostSpread))
 }
 
-// look decides whether the request may be sent to an upstream now. It notes one that takes it
-// later.
+// look decides whether the request may be sent to an upstream now, and notes what it has seen.
 func (c *call) look(now time.Time, in *sandbarrow.Instance, r availability.Report) availability.Look {
 	l := c.gateway.upstreams.look(now, in, r)
-	switch {
-	case l.Blocked == availability.Limited:
-		c.limited.note(l.Wait)
-	case l.Blocked == "" && !l.Limited:
-		c.limited.others = true
-	}
+	c.blocked.note(now, &l)
 	return l
 }
 
@@ -62,12 +83,14 @@
 // another one; it waits for its turn only where all upstreams name a limit.
 func (c *call) permitSend(ctx context.Context, in *sandbarrow.Instance) (*sendPermit, bool) {
 	within := min(throttle.Within, c.left()/sendWithinParts)
-	if c.limited.others {
+	if c.blocked.others {
 		within = 0
 	}
 	permit, granted := c.gateway.permits.acquire(ctx, in, within)
 	if !granted {
-		c.limited.note(c.gateway.upstreams.look(boottime.Now(), in, availability.Report{}).Wait)
+		now := boottime.Now()
+		l := c.gateway.upstreams.look(now, in, availability.Report{})
+		c.blocked.noteFree(now.Add(l.Wait))
 	}
 	return permit, granted
 }
@@ -96,7 +119,7 @@
 
 // unserved is why no upstream was left for the call.
 func (c *call) unserved(why reason) reason {
-	if why == reasonNoUpstream && c.limited.seen {
+	if why == reasonNoUpstream && !c.blocked.accepts.IsZero() {
 		return reasonUpstreamLimit
 	}
 	return why
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -26,8 +26,8 @@
 	// judged is what was known of upstreams that ended under the request, when that was
 	// asked last.
 	judged crash.Verdict
-	// limited is what was seen of upstreams that take no request now.
-	limited limitWait
+	// blocked is what was seen of upstreams that accept no request now.
+	blocked blockedUpstreams
 	quota   quotaAsk
 	streamState
 }
--- a/gateway/callend.go
+++ b/gateway/callend.go
@@ -9,6 +9,7 @@
 
 	"sandbarrow.example/sandbarrow/access"
 	"sandbarrow.example/sandbarrow/forward"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 )
 
 // retryAfter is when a refused caller may come back, on average, so that refused callers
@@ -80,7 +81,7 @@
 	}
 	status, why := endStatus(c.ran, late || ctx.Err() != nil, c.unserved(why))
 	if why == reasonUpstreamLimit {
-		c.refuseFor(status, why, c.limited.retryAfter())
+		c.refuseFor(status, why, c.blocked.retryAfter(boottime.Now()))
 		return
 	}
 	c.refuse(status, why)
--- a/gateway/candidate.go
+++ b/gateway/candidate.go
@@ -47,7 +47,7 @@
 // with any of them: of engines that cost the same the first is chosen, and gateways that
 // know the same must not all choose the same one.
 func (g *Gateway) eligible(c *call, now time.Time, excluded map[sandbarrow.InstanceID]bool, list []candidate) []candidate {
-	c.limited.others = false
+	c.blocked.choose()
 	members := g.engines.members(c.service.ID)
 	first := rand.IntN(max(1, len(members)))
 	for i := range members {
--- a/gateway/promptmove.go
+++ b/gateway/promptmove.go
@@ -164,7 +164,7 @@
 	switch {
 	case granted != s.weights:
 		return moveWeights
-	case s.link.keeps(boottime.Now(), s.instance, c, granted) < leastMoved:
+	case !c.gateway.upstreams.accepts(s.instance), s.link.keeps(boottime.Now(), s.instance, c, granted) < leastMoved:
 		return moveSource
 	}
 	return moveSent
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -39,7 +39,7 @@
 		c.holdSuspect(ctx)
 		c.version = c.leastVersion()
 		e := c.gateway.chooseEngine(c, s.excluded)
-		if s.first() && !c.limited.seen && (e == nil || !c.gateway.engines.anyUp()) && c.awaitEngines(ctx) {
+		if s.first() && !c.blocked.decisive() && (e == nil || !c.gateway.engines.anyUp()) && c.awaitEngines(ctx) {
 			continue
 		}
 		if e == nil {
--- a/gateway/serveplain.go
+++ b/gateway/serveplain.go
@@ -138,7 +138,7 @@
 // known.
 func (g *Gateway) choosePlain(c *call, excluded map[sandbarrow.InstanceID]bool) *sandbarrow.Instance {
 	now := boottime.Now()
-	c.limited.others = false
+	c.blocked.choose()
 	var best *sandbarrow.Instance
 	var bestCost time.Duration
 	for _, in := range g.directory.View().Service(c.service.ID) {
--- a/gateway/upstreamend.go
+++ b/gateway/upstreamend.go
@@ -198,7 +198,7 @@
 	if ctx.Err() != nil || c.request.Context().Err() != nil {
 		return
 	}
-	if listed := c.gateway.directory.View().At(in.Address); listed != nil && listed.ID == in.ID && listed.Draining {
+	if c.gateway.upstreams.drains(in) {
 		return
 	}
 	dialled := c.gateway.ends.broke(in, brokenAttempt{at: boottime.Now(), print: c.fingerprint(), request: sandbarrow.RequestID(c.id)})
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -40,6 +40,18 @@
 	return accepts
 }
 
+// drains reports whether an upstream ends as planned, by the list or by its own word.
+func (u *upstreams) drains(in *sandbarrow.Instance) bool {
+	listed := u.gateway.directory.View().Find(in)
+	if listed == nil {
+		listed = in
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	why, _ := u.table.Accepts(boottime.Now(), listed)
+	return why == availability.Draining
+}
+
 // begin counts a request that is sent.
 func (u *upstreams) begin(id sandbarrow.InstanceID) {
 	u.mu.Lock()
