Send nothing to an upstream within the time for which it wants no requests

Callers saw: engines refused with 503 and Retry-After: 3, and got up to 7 requests within those 3 s from one gateway, 2 are allowed; a third of the callers of these routes were refused for want of retry budget, which the refusals had used up, and were told to come back after 0.25 s.

Cause: nobody read the time, and a refusal that names one counted as a failure.

availability.Table blocks the upstream until the latest time that it has named, at the choice and right before a request leaves. Such a refusal is no failure. Where none accepts a request, it is refused at once (503, upstream-backoff) with when the first one does, also after attempts that were refused.

--- a/availability/outcomes.go
+++ b/availability/outcomes.go
@@ -70,6 +70,13 @@
 	r.failures, r.at = share, now
 }
 
+// Withdraw ends a request that Begin has counted, and that says nothing of its upstream.
+func (o *Outcomes) Withdraw(id sandbarrow.InstanceID) {
+	if r := o.upstreams[id]; r != nil {
+		r.inFlight--
+	}
+}
+
 // Look returns the requests in flight at an upstream and the price of its failures.
 func (o *Outcomes) Look(now time.Time, id sandbarrow.InstanceID) (inFlight int, penalty time.Duration) {
 	r := o.upstreams[id]
--- a/availability/table.go
+++ b/availability/table.go
@@ -12,6 +12,8 @@
 
 // The reasons.
 const (
+	// Backoff is an upstream that has refused a request and wants none for a time.
+	Backoff Reason = "backoff"
 	// Draining is an upstream that ends soon, as the list, its controller or itself says.
 	Draining Reason = "draining"
 	// Limited is an upstream that has had what it accepts by its limit.
@@ -61,6 +63,7 @@
 // table keeps.
 func (t *Table) Look(now time.Time, in *sandbarrow.Instance, r Report) Look {
 	wait, price := t.Gates.Look(now, in.ID)
+	backoff := t.Notices.Look(now, in.ID).Backoff
 	l := Look{Limited: price != 0, Price: price}
 	switch {
 	case r.Draining || t.Notices.drains(now, in):
@@ -69,6 +72,8 @@
 		l.Blocked = Unreachable
 	case r.Instance != "" && r.Instance != in.ID:
 		l.Blocked = Replaced
+	case backoff > 0:
+		l.Blocked, l.Wait = Backoff, backoff
 	case wait > 0:
 		l.Blocked, l.Wait = Limited, wait
 	}
@@ -89,6 +94,18 @@
 		return Unlisted, false
 	case t.Notices.drains(now, listed):
 		return Draining, false
+	case t.Notices.Look(now, listed.ID).Backoff > 0:
+		return Backoff, false
 	}
 	return "", true
 }
+
+// End counts the outcome of a request that Outcomes.Begin has counted. A refusal that says when
+// to come back is no failure: the upstream would be avoided for longer than it wants.
+func (t *Table) End(now time.Time, id sandbarrow.InstanceID, failed bool) {
+	if failed && t.Notices.Look(now, id).Backoff > 0 {
+		t.Outcomes.Withdraw(id)
+		return
+	}
+	t.Outcomes.End(now, id, failed)
+}
--- a/availability/table_test.go
+++ b/availability/table_test.go
@@ -31,6 +31,9 @@
 		"its last start said so": {ready, Report{}, func(x *Table) {
 			x.Notices.Apply(now, restart, http.StatusOK, sandbarrow.Announcement{Draining: true})
 		}, Look{}},
+		"it wants none for a time": {ready, Report{}, func(x *Table) {
+			x.Notices.Apply(now, upstream, http.StatusServiceUnavailable, sandbarrow.Announcement{Backoff: time.Second})
+		}, Look{Blocked: Backoff, Wait: time.Second}},
 		"unreachable": {ready, Report{Unreachable: true}, nil, Look{Blocked: Unreachable}},
 		"replaced":    {ready, Report{Instance: restart}, nil, Look{Blocked: Replaced}},
 		"in flight":   {ready, Report{}, func(x *Table) { x.Outcomes.Begin(now, upstream) }, Look{InFlight: 1}},
@@ -73,3 +76,21 @@
 		assert.Equal(t, table.Look(now, ready, Report{}).Blocked, Reason(""), "it has started again")
 	}
 }
+
+func TestRefusalWithATimeIsNoFailure(t *testing.T) {
+	now := time.Now()
+	ready := &sandbarrow.Instance{ID: upstream}
+	var table Table
+	table.Outcomes.Begin(now, upstream)
+	table.Notices.Apply(now, upstream, http.StatusServiceUnavailable, sandbarrow.Announcement{Backoff: time.Second})
+	table.End(now, upstream, true)
+	why, accepts := table.Accepts(now, ready)
+	assert.Assert(t, why == Backoff && !accepts)
+	now = now.Add(time.Second)
+	_, accepts = table.Accepts(now, ready)
+	assert.Assert(t, accepts)
+	assert.Equal(t, table.Look(now, ready, Report{}), Look{}, "nothing is left of it")
+	table.Outcomes.Begin(now, upstream)
+	table.End(now, upstream, true)
+	assert.Assert(t, table.Look(now, ready, Report{}).Price > 0, "a failure without a time")
+}
--- a/gateway/blocked.go
+++ b/gateway/blocked.go
@@ -13,8 +13,13 @@
 
 // blockedUpstreams is what a call has seen of upstreams that accept no request now.
 type blockedUpstreams struct {
-	// accepts is when the first of them accepts one; zero where none says so.
+	// accepts is when the first of them accepts one; zero where none says so. why is what keeps
+	// that one until then.
 	accepts time.Time
+	why     availability.Reason
+	// open says that the last choice has met one that accepts requests, whether the call had
+	// been there before or not.
+	open bool
 	// draining says that the last choice has met an upstream that drains, rest that it has met
 	// one that does not.
 	draining, rest bool
@@ -24,28 +29,32 @@
 
 // choose begins a new choice.
 func (b *blockedUpstreams) choose() {
-	b.draining, b.rest, b.others = false, false, false
+	b.draining, b.open, b.others, b.rest = false, false, false, false
 }
 
-// note notes a look at an upstream.
-func (b *blockedUpstreams) note(now time.Time, l *availability.Look) {
+// note notes a look at an upstream; excluded says that the call does not choose it again.
+func (b *blockedUpstreams) note(now time.Time, l *availability.Look, excluded bool) {
 	if l.Wait > 0 {
-		b.noteFree(now.Add(l.Wait))
+		b.noteFree(now.Add(l.Wait), l.Blocked)
 	}
 	if l.Blocked == availability.Draining {
 		b.draining = true
 		return
 	}
 	b.rest = true
-	if l.Blocked == "" && !l.Limited {
+	if l.Blocked != "" {
+		return
+	}
+	b.open = true
+	if !l.Limited && !excluded {
 		b.others = true
 	}
 }
 
-// noteFree notes when an upstream accepts a request.
-func (b *blockedUpstreams) noteFree(at time.Time) {
+// noteFree notes when an upstream accepts a request, and what keeps it until then.
+func (b *blockedUpstreams) noteFree(at time.Time, why availability.Reason) {
 	if b.accepts.IsZero() || at.Before(b.accepts) {
-		b.accepts = at
+		b.accepts, b.why = at, why
 	}
 }
 
@@ -72,11 +81,12 @@
 	return wait + rand.N(min(max(wait, retryAfter), mostSpread))
 }
 
-// look decides whether the request may be sent to an upstream now, and notes what it has seen.
-func (c *call) look(now time.Time, in *sandbarrow.Instance, r availability.Report) availability.Look {
-	l := c.gateway.upstreams.look(now, in, r)
-	c.blocked.note(now, &l)
-	return l
+// look decides whether the request may be sent to an upstream now, and notes what it has seen;
+// excluded ones are those that the call does not choose again.
+func (c *call) look(now time.Time, in *sandbarrow.Instance, r availability.Report, excluded map[sandbarrow.InstanceID]bool) (l availability.Look, may bool) {
+	l = c.gateway.upstreams.look(now, in, r)
+	c.blocked.note(now, &l, excluded[in.ID])
+	return l, l.Blocked == "" && !excluded[in.ID]
 }
 
 // permitSend asks for a send to an upstream. Where it takes no request now, the call looks for
@@ -90,7 +100,7 @@
 	if !granted {
 		now := boottime.Now()
 		l := c.gateway.upstreams.look(now, in, availability.Report{})
-		c.blocked.noteFree(now.Add(l.Wait))
+		c.blocked.noteFree(now.Add(l.Wait), availability.Limited)
 	}
 	return permit, granted
 }
@@ -117,10 +127,16 @@
 	return now
 }
 
-// unserved is why no upstream was left for the call.
+// unserved decides why no upstream was left for the call, by the reason of its last attempt: where
+// upstreams accept a request later, its caller is told when. One that has refused this request is
+// among these only while none accepts requests.
 func (c *call) unserved(why reason) reason {
-	if why == reasonNoUpstream && !c.blocked.accepts.IsZero() {
-		return reasonUpstreamLimit
+	b := &c.blocked
+	switch {
+	case b.accepts.IsZero(), why != reasonNoUpstream && why != reasonRefused, why == reasonRefused && b.open:
+		return why
+	case b.why == availability.Backoff:
+		return reasonUpstreamBackoff
 	}
-	return why
+	return reasonUpstreamLimit
 }
--- a/gateway/callend.go
+++ b/gateway/callend.go
@@ -40,6 +40,8 @@
 	reasonStopping      reason = "stopping"
 	reasonTooLarge      reason = "too-large"
 	reasonUnknownKey    reason = "unknown-key"
+	// reasonUpstreamBackoff is a request for which each upstream that is left wants none now.
+	reasonUpstreamBackoff reason = "upstream-backoff"
 	// reasonUpstreamLimit is a request for which each upstream that is left has had what it
 	// takes.
 	reasonUpstreamLimit reason = "upstream-limit"
@@ -80,7 +82,7 @@
 		return
 	}
 	status, why := endStatus(c.ran, late || ctx.Err() != nil, c.unserved(why))
-	if why == reasonUpstreamLimit {
+	if why == reasonUpstreamLimit || why == reasonUpstreamBackoff {
 		c.refuseFor(status, why, c.blocked.retryAfter(boottime.Now()))
 		return
 	}
--- a/gateway/candidate.go
+++ b/gateway/candidate.go
@@ -52,12 +52,9 @@
 	first := rand.IntN(max(1, len(members)))
 	for i := range members {
 		m := &members[(first+i)%len(members)]
-		if excluded[m.instance.ID] {
-			continue
-		}
 		e := candidate{instance: m.instance, link: m.link, linkView: m.link.view(now, c)}
-		look := c.look(now, m.instance, e.report())
-		if look.Blocked != "" {
+		look, may := c.look(now, m.instance, e.report(), excluded)
+		if !may {
 			continue
 		}
 		e.remote = m.instance.FailureDomain != g.config.Domain
--- a/gateway/serveplain.go
+++ b/gateway/serveplain.go
@@ -142,11 +142,8 @@
 	var best *sandbarrow.Instance
 	var bestCost time.Duration
 	for _, in := range g.directory.View().Service(c.service.ID) {
-		if excluded[in.ID] {
-			continue
-		}
-		look := c.look(now, in, availability.Report{})
-		if look.Blocked != "" {
+		look, may := c.look(now, in, availability.Report{}, excluded)
+		if !may {
 			continue
 		}
 		cost := look.Price + time.Duration(look.InFlight)*serviceDelay/time.Duration(max(1, in.Slots))
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -63,7 +63,7 @@
 func (u *upstreams) end(id sandbarrow.InstanceID, failed bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.table.Outcomes.End(boottime.Now(), id, failed)
+	u.table.End(boottime.Now(), id, failed)
 }
 
 // observe reads what an upstream announces in its answer to a request sent at a time.
