--- a/gateway/serveplain.go
+++ b/gateway/serveplain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -135,13 +136,17 @@
 //
 // Inputs: whether it accepts requests now, this gateway's requests in flight there for each slot,
 // the penalty for recent failures, and the failure domain. The load from other gateways is not
-// known.
+// known. It begins with any of them: of those that cost the same the first is chosen, and gateways
+// that know the same must not all choose the same one.
 func (g *Gateway) choosePlain(c *call, excluded map[sandbarrow.InstanceID]bool) *sandbarrow.Instance {
 	now := boottime.Now()
 	c.blocked.choose()
 	var best *sandbarrow.Instance
 	var bestCost time.Duration
-	for _, in := range g.directory.View().Service(c.service.ID) {
+	list := g.directory.View().Service(c.service.ID)
+	first := rand.IntN(max(1, len(list)))
+	for i := range list {
+		in := list[(first+i)%len(list)]
 		look, may := c.look(now, in, availability.Report{}, excluded)
 		if !may {
 			continue
