Give an engine no orders within the time for which it wants none

An order that is refused with a time is a BackoffError; the controller gives none until then, and refuses at once what would need one, so that another engine serves it. Reports go on: they take no slot, and an engine that refuses them is silent as before.

--- a/controller/acquire.go
+++ b/controller/acquire.go
@@ -74,6 +74,8 @@
 		return enginelink.Grant{Refused: enginelink.RefuseUnreachable}, true
 	case !c.holdsModel(q.Model):
 		return enginelink.Grant{Refused: enginelink.RefuseNoModel}, true
+	case c.now().Before(c.backoffUntil) && c.slots.needsOrder(sandbarrow.AdapterKey{Adapter: q.Adapter, Model: q.Model}, q.Version):
+		return enginelink.Grant{Refused: enginelink.RefuseBackoff}, true
 	case q.Instance != "" && c.instance != "" && !q.Instance.Is(c.instance):
 		// The engine itself would refuse the request, after a load for nothing, and the
 		// gateway's next attempt would take a retry from its budget.
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -83,7 +83,9 @@
 	wake    chan struct{}
 	watch   prefixwatch.Watch
 
-	mu            sync.Mutex
+	mu sync.Mutex
+	// backoffUntil is until when the engine wants no orders.
+	backoffUntil  time.Time
 	failedReports int
 	// instance is the engine's start, or "" while it is not known.
 	instance sandbarrow.InstanceID
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -355,3 +355,31 @@
 	assert.Assert(t, refused)
 	assert.Equal(t, refusal.Refused, enginelink.RefuseInstance)
 }
+
+func TestEngineThatWantsNoOrdersGetsNone(t *testing.T) {
+	f := newFakeEngine(testSlots)
+	c := newTestController(t, f)
+	now := time.Now()
+	c.now = func() time.Time { return now }
+	step(t, c)
+	f.backoff = 3 * time.Second
+	before := len(f.given)
+	w, _ := ask(c, "a", 0)
+	step(t, c)
+	assert.Equal(t, (<-w.grant).Refused, enginelink.RefuseBackoff)
+	for range 5 {
+		now = now.Add(500 * time.Millisecond)
+		_, _ = ask(c, "b", 0)
+		step(t, c)
+	}
+	assert.Equal(t, len(f.given), before+1)
+	c.mu.Lock()
+	g, refused := c.refuseAtOnce(&enginelink.Acquire{Adapter: "b", Model: testModel})
+	c.mu.Unlock()
+	assert.Assert(t, refused && g.Refused == enginelink.RefuseBackoff)
+	f.backoff = 0
+	now = now.Add(time.Second)
+	_, _ = ask(c, "b", 0)
+	step(t, c)
+	assert.Equal(t, len(f.given), before+2)
+}
--- a/controller/engineloop.go
+++ b/controller/engineloop.go
@@ -67,7 +67,7 @@
 	c.failedReports = 0
 	if c.hasRestarted(&r) {
 		c.logger.Warn("engine restarted", "sequence", r.Sequence, "before", c.sequence, "instance", string(c.instance))
-		c.instance = ""
+		c.backoffUntil, c.instance = time.Time{}, ""
 		c.late.restarted()
 		c.slots.restarted(c.now())
 	}
--- a/controller/fakeengine_test.go
+++ b/controller/fakeengine_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"time"
 
 	"sandbarrow.example/sandbarrow"
 )
@@ -30,8 +31,10 @@
 	// loseLoads lets loseNext count loads alone.
 	loseLoads bool
 	started   sandbarrow.UnixMillis
-	leaving   bool
-	silent    bool
+	// backoff refuses orders and says for how long it wants none; 0 carries them out.
+	backoff time.Duration
+	leaving bool
+	silent  bool
 }
 
 func newFakeEngine(slots int) *fakeEngine {
@@ -72,6 +75,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.given = append(f.given, o)
+	if f.backoff > 0 {
+		return false, &sandbarrow.BackoffError{Err: sandbarrow.ErrOrderUnknown, Wait: f.backoff}
+	}
 	if f.loseNext > 0 && (o.Load || !f.loseLoads) {
 		f.loseNext--
 		f.late = append(f.late, o)
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/enginelink"
 )
 
 const (
@@ -123,7 +124,10 @@
 // sequence has moved, and any later order moves it, so that a late one no longer
 // fits. A fenced one needs a newer token, a misdirected one another instance.
 func (c *Controller) afterFailedOrder(ctx context.Context, err error) time.Duration {
+	var backoff *sandbarrow.BackoffError
 	switch {
+	case errors.As(err, &backoff):
+		c.backOff(backoff.Wait)
 	case errors.Is(err, sandbarrow.ErrOrderFenced):
 		c.renewToken(ctx)
 	case errors.Is(err, sandbarrow.ErrOrderMisdirected):
@@ -134,14 +138,27 @@
 	return conflictPause
 }
 
+// backOff gives the engine no orders for a time. What would need one is refused, since another
+// engine may serve it now.
+func (c *Controller) backOff(wait time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	if until := now.Add(wait); until.After(c.backoffUntil) {
+		c.backoffUntil = until
+	}
+	c.slots.refuseUnordered(enginelink.RefuseBackoff)
+	c.logger.Info("engine wants no orders", "backoff_ms", wait.Milliseconds())
+}
+
 // nextOrder decides the next order, if there is one and it may be given: not to an
-// engine that drains, and not before the first fencing token and the operators'
+// engine that drains or wants none, and not before the first fencing token and the operators'
 // state are known. It names the sequence and the instance that must stand, so that a
 // late order is carried out by nobody.
 func (c *Controller) nextOrder(sequence uint64) (sandbarrow.EngineOrder, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.token == 0 || c.reported.Draining {
+	if c.token == 0 || c.reported.Draining || c.now().Before(c.backoffUntil) {
 		return sandbarrow.EngineOrder{}, false
 	}
 	service := c.ownService()
@@ -172,5 +189,5 @@
 func (c *Controller) wantsOrder() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.reported.Draining && (len(c.reported.Models) == 0 || len(c.slots.pending) > 0)
+	return !c.reported.Draining && !c.now().Before(c.backoffUntil) && (len(c.reported.Models) == 0 || len(c.slots.pending) > 0)
 }
--- a/controller/slots.go
+++ b/controller/slots.go
@@ -232,6 +232,26 @@
 	}
 }
 
+// needsOrder reports whether the engine must be ordered to load an adapter of a version.
+func (s *slots) needsOrder(key sandbarrow.AdapterKey, v sandbarrow.AdapterVersion) bool {
+	sl := s.slots[key]
+	return key.Adapter != "" && !sl.usable(v) && (sl == nil || sl.state != enginelink.SlotLoading)
+}
+
+// refuseUnordered refuses the requests that wait for an adapter which the engine was not ordered
+// to load.
+func (s *slots) refuseUnordered(reason enginelink.RefuseReason) {
+	for key, load := range s.pending {
+		if !s.needsOrder(key, load.version) {
+			continue
+		}
+		for _, w := range load.requests {
+			w.grant <- enginelink.Grant{Refused: reason}
+		}
+		delete(s.pending, key)
+	}
+}
+
 // waiting counts the prompts that the engine has yet to read: those granted whose
 // answer has not begun, and those that wait for their adapter.
 func (s *slots) waiting() enginelink.Waiting {
--- a/enginecontrol.go
+++ b/enginecontrol.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -59,6 +60,19 @@
 	ErrOrderUnknown = errors.ConstError("engine: order without answer")
 )
 
+// BackoffError is the refusal of an engine that wants no orders for a time.
+type BackoffError struct {
+	// Err is the error without the time.
+	Err  error
+	Wait time.Duration
+}
+
+// Error returns the refusal as one line.
+func (e *BackoffError) Error() string { return e.Err.Error() + ", wants none for " + e.Wait.String() }
+
+// Unwrap returns the error without the time.
+func (e *BackoffError) Unwrap() error { return e.Err }
+
 // EngineControl gives orders to one engine and reads its state. It may be called from
 // several goroutines. The errors of Identify and Report are ErrUpstreamUnknown where
 // no answer came, and ErrUpstreamBroken for a malformed one.
@@ -67,7 +81,7 @@
 	// says which of its starts.
 	Identify(ctx context.Context, path string) (ListedID, error)
 	// Order gives an order. It returns true when the engine already is as ordered, and
-	// the errors above.
+	// the errors above, of an engine that wants no orders for a time in a BackoffError.
 	Order(ctx context.Context, o EngineOrder) (done bool, err error)
 	// Report reads the state.
 	Report(ctx context.Context) (EngineReport, error)
--- a/enginelink/messages.go
+++ b/enginelink/messages.go
@@ -96,6 +96,8 @@
 
 // The reasons of a refusal.
 const (
+	// RefuseBackoff means that the engine wants no orders now, and does not hold the adapter.
+	RefuseBackoff RefuseReason = "backoff"
 	// RefuseBusy means that more prompt tokens wait than MostWaiting allows.
 	RefuseBusy     RefuseReason = "busy"
 	RefuseDraining RefuseReason = "leaving"
--- a/gateway/enginesearch.go
+++ b/gateway/enginesearch.go
@@ -40,7 +40,7 @@
 func (s *engineSearch) asked(id sandbarrow.InstanceID, refused enginelink.RefuseReason) {
 	s.excluded[id] = true
 	switch refused {
-	case enginelink.RefuseDraining, enginelink.RefuseInstance, enginelink.RefuseNoModel, enginelink.RefuseUnreachable:
+	case enginelink.RefuseBackoff, enginelink.RefuseDraining, enginelink.RefuseInstance, enginelink.RefuseNoModel, enginelink.RefuseUnreachable:
 		s.refusals++
 	default:
 		s.acquires++
