Obey what the upstream announces on the entry path too

agent/admissions.go (was sendlimit.go) keeps the notices beside the limit, and asks for both at admission and at the start, so that what waited is refused too. On a drain it gives back what waits and tells the entries. An upstream that says at each start which one it is begins anew with that, a service once nothing listened at its address and something does again. Orders wait, and an end after a drain counts against no request. Entries keep the earliest time of refusals that name one, and try elsewhere without cost.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -41,6 +41,7 @@
 // Agent is one agent. Its parts are told apart by their files: attempts,
 // connections, orders, the upstream's state and the stop.
 type Agent struct {
+	admissions  *admissions
 	answers     *answerCache
 	budget      sandbarrow.LoadBudget
 	claimer     sandbarrow.Claimer
@@ -49,7 +50,6 @@
 	follower    *config.Follower
 	incarnation sandbarrow.Incarnation
 	lease       *lease.Holder
-	limit       *sendLimit
 	list        sandbarrow.BoxList // nil if not set
 	listener    net.Listener
 	logger      *slog.Logger
@@ -85,6 +85,7 @@
 	st := store.NewMeasured(store.NewHTTP(s.Platform.Store), registry)
 	w := s.Agent.WeightStore
 	a := &Agent{
+		admissions:  newAdmissions(u.ID, reader, logger),
 		answers:     newAnswerCache(),
 		attempts:    map[attemptKey]*attempt{},
 		budget:      loadbudget.NewBackoff(w.LoadsPerSecond, w.ParallelLoads),
@@ -95,7 +96,6 @@
 		follower:    config.NewFollower(st, logger),
 		incarnation: sandbarrow.Incarnation(uuid.NewString()),
 		lease:       lease.NewHolder(st, "leases/"+string(u.ID), time.Duration(s.Agent.LeaseTTL), logger),
-		limit:       newSendLimit(u.ID, reader, logger),
 		list:        newBoxList(s),
 		listener:    listener,
 		logger:      logger,
@@ -111,9 +111,10 @@
 		waiting:  make(chan struct{}, 1),
 	}
 	a.metrics = newMetrics(registry, a)
-	a.upstream = upstream.NewService(u.URL, a.limit)
+	a.admissions.drains = a.upstreamDrains
+	a.upstream = upstream.NewService(u.URL, a.admissions)
 	if u.Kind == settings.KindEngine {
-		a.engine = upstream.NewEngine(u.URL, u.MaxRunning, a.limit)
+		a.engine = upstream.NewEngine(u.URL, u.MaxRunning, a.admissions)
 		a.upstream = a.engine
 	}
 	return a, nil
@@ -128,7 +129,7 @@
 func (a *Agent) Ready() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return !a.draining && !a.unready
+	return !a.draining && !a.unready && !a.admissions.draining()
 }
 
 // Run serves until ctx ends, then finishes what runs.
@@ -152,6 +153,8 @@
 	if a.engine != nil {
 		g.Go(func() error { return a.lease.Run(work) })
 		g.Go(func() error { return a.stateLoop(work) })
+	} else {
+		g.Go(func() error { return a.watchRestart(work) })
 	}
 	g.Go(func() error {
 		select {
@@ -224,7 +227,7 @@
 		at.state = attemptStarting
 		go a.run(at)
 	}
-	if a.engine != nil && !a.draining {
+	if a.engine != nil && !a.draining && !a.admissions.wantsNone(now) {
 		a.pumpOrders(now)
 	}
 	if len(a.byTicket) > 0 {
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -92,15 +92,15 @@
 	case known:
 		return sandbarrow.Unknown(sandbarrow.ReasonRevoked, "this attempt was sent twice", 0)
 	case a.draining:
-		return sandbarrow.NotRun(sandbarrow.ReasonDraining, "the upstream is leaving", retryPause)
+		return drainingRefusal()
 	case a.unready:
 		return sandbarrow.NotRun(sandbarrow.ReasonUpstream, "the upstream does not answer", retryPause)
 	case at.req.DeadlineMS <= 0:
 		return sandbarrow.NotRun(sandbarrow.ReasonDeadline, "the deadline has passed", 0)
 	}
-	admission := a.limit.admit(now)
-	if !admission.Granted {
-		return admission.refusal()
+	admission := a.admissions.admit(now, false)
+	if admission.refusal != nil {
+		return admission.refusal
 	}
 	at.counted = admission.counted
 	at.ticket = &schedule.Ticket{
@@ -113,7 +113,7 @@
 	}
 	err := a.scheduler.Submit(now, at.ticket)
 	if err != nil && at.counted {
-		a.limit.unused()
+		a.admissions.unused()
 	}
 	return err
 }
@@ -134,7 +134,7 @@
 	}
 	at.state = attemptEnded
 	if at.counted && !at.sent {
-		a.limit.unused()
+		a.admissions.unused()
 	}
 	at.cancel()
 	delete(a.attempts, at.key())
@@ -247,14 +247,12 @@
 		return sandbarrow.NotRun(sandbarrow.ReasonRevoked, "withdrawn before its start", 0)
 	}
 	now := boottime.Now()
-	if !at.counted {
-		// The limit may have been named while it waited.
-		admission := a.limit.admit(now)
-		if !admission.Granted {
-			return admission.refusal()
-		}
-		at.counted = admission.counted
+	// The upstream may have announced something while it waited.
+	admission := a.admissions.admit(now, at.counted)
+	if admission.refusal != nil {
+		return admission.refusal
 	}
+	at.counted = admission.counted
 	at.state, at.startedAt, at.sent = attemptStarted, now, true
 	if at.req.OnceID != "" {
 		a.answers.begin(at.req.OnceID)
--- a/agent/connection.go
+++ b/agent/connection.go
@@ -260,7 +260,7 @@
 	st := a.scheduler.Stats(boottime.Now())
 	s := wire.Status{
 		Config:    a.follower.Mark(),
-		Draining:  a.draining,
+		Draining:  a.draining || a.admissions.draining(),
 		LoadMS:    wire.Millis(st.LoadWait),
 		Queued:    st.Queued,
 		Running:   st.Running,
--- a/agent/ends.go
+++ b/agent/ends.go
@@ -46,7 +46,7 @@
 
 // noteBroken notes a run that broke, and finds out whether the upstream has ended.
 func (a *Agent) noteBroken(ctx context.Context, at *attempt) {
-	if at.req.Fingerprint == nil || at.ctx.Err() != nil {
+	if at.req.Fingerprint == nil || at.ctx.Err() != nil || a.admissions.draining() { // one that drains ends as planned
 		return
 	}
 	run := brokenRun{at: boottime.Now(), began: at.startedAt, print: *at.req.Fingerprint}
--- a/agent/ends_test.go
+++ b/agent/ends_test.go
@@ -11,6 +11,7 @@
 
 	"sandbarrow.example/sandbarrow/crash"
 	"sandbarrow.example/sandbarrow/internal/boottime"
+	"sandbarrow.example/sandbarrow/platform"
 	"sandbarrow.example/sandbarrow/settings"
 	"sandbarrow.example/sandbarrow/wire"
 )
@@ -21,7 +22,8 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	a := &Agent{
-		crashes: crash.NewLog(boottime.Now), incarnation: "i", logger: slog.New(slog.DiscardHandler),
+		admissions: newAdmissions("u", platform.Announcements{}, slog.New(slog.DiscardHandler)),
+		crashes:    crash.NewLog(boottime.Now), incarnation: "i", logger: slog.New(slog.DiscardHandler),
 		settings: &settings.Settings{Agent: &settings.Agent{Upstream: settings.Upstream{ID: "u", URL: "http://" + listener.Addr().String()}}},
 	}
 	fatal, beside := crash.NewFingerprint([]byte("fatal")), crash.NewFingerprint([]byte("beside"))
--- a/agent/orders_test.go
+++ b/agent/orders_test.go
@@ -15,6 +15,7 @@
 	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/lease"
 	"sandbarrow.example/sandbarrow/loadbudget"
+	"sandbarrow.example/sandbarrow/platform"
 	"sandbarrow.example/sandbarrow/queueorder"
 	"sandbarrow.example/sandbarrow/schedule"
 	"sandbarrow.example/sandbarrow/settings"
@@ -43,12 +44,13 @@
 // agent drains, so that it gives no order of its own.
 func restartedAgent(t *testing.T, engine *fakeEngine) (*Agent, schedule.Order) {
 	a := &Agent{
-		budget:   loadbudget.NewBackoff(10, 1),
-		draining: true,
-		engine:   engine,
-		lease:    heldLease(t),
-		logger:   slog.New(slog.DiscardHandler),
-		runCtx:   t.Context(),
+		admissions: newAdmissions("u", platform.Announcements{}, slog.New(slog.DiscardHandler)),
+		budget:     loadbudget.NewBackoff(10, 1),
+		draining:   true,
+		engine:     engine,
+		lease:      heldLease(t),
+		logger:     slog.New(slog.DiscardHandler),
+		runCtx:     t.Context(),
 		scheduler: schedule.New(schedule.Options{
 			Evictor: evict.NewCost(), MaxQueued: 10, MaxRunning: 4, Order: queueorder.Aged{Step: time.Second}, Slots: 2,
 		}),
--- a/agent/state.go
+++ b/agent/state.go
@@ -115,6 +115,7 @@
 	} else {
 		a.logger.Warn("engine restarted", "start", state.Start, "loaded", len(state.Loaded))
 		a.noteEnd(now)
+		a.admissions.restarted()
 	}
 	a.start = state.Start
 	models := make([]sandbarrow.ModelRef, 0, len(state.Loaded))
--- a/agent/stop.go
+++ b/agent/stop.go
@@ -6,6 +6,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/boxlist"
+	"sandbarrow.example/sandbarrow/internal/pause"
 	"sandbarrow.example/sandbarrow/schedule"
 	"sandbarrow.example/sandbarrow/settings"
 )
@@ -15,6 +16,9 @@
 	idlePause = 20 * time.Millisecond
 	// listPause is the pause between looks at the list of boxes.
 	listPause = time.Second
+	// restartPause is the pause between two looks whether an upstream that drains has ended: less
+	// than a restart takes.
+	restartPause = 200 * time.Millisecond
 	// settlePause lets the last replies reach the entries.
 	settlePause = 200 * time.Millisecond
 )
@@ -60,6 +64,21 @@
 	}
 	a.draining = true
 	a.logger.Info("draining", "why", why)
+	a.giveBack()
+	a.mu.Unlock()
+	a.broadcastStatus()
+}
+
+// upstreamDrains gives back what has not started, since the upstream has announced that it drains.
+func (a *Agent) upstreamDrains() {
+	a.mu.Lock()
+	a.giveBack()
+	a.mu.Unlock()
+	a.broadcastStatus()
+}
+
+// giveBack refuses all attempts that have not started. The caller holds mu.
+func (a *Agent) giveBack() {
 	waiting := make([]*schedule.Ticket, 0, len(a.byTicket))
 	for t, at := range a.byTicket {
 		if at.state == attemptQueued {
@@ -68,10 +87,27 @@
 	}
 	for _, t := range waiting {
 		a.scheduler.Remove(t)
-		a.endWaiting(t, sandbarrow.NotRun(sandbarrow.ReasonDraining, "the upstream is leaving", retryPause))
+		a.endWaiting(t, drainingRefusal())
 	}
-	a.mu.Unlock()
-	a.broadcastStatus()
+}
+
+// watchRestart watches, while the upstream drains, whether its process has ended and another one
+// listens, until ctx ends. Services do not say which of their starts answers.
+func (a *Agent) watchRestart(ctx context.Context) error {
+	ended := false
+	for ctx.Err() == nil {
+		if a.admissions.draining() {
+			refuses := refusesConnections(ctx, a.settings.Agent.Upstream.URL)
+			if ended && !refuses {
+				a.admissions.restarted()
+				a.logger.Info("upstream started again")
+				a.broadcastStatus()
+			}
+			ended = refuses
+		}
+		pause.For(ctx, restartPause)
+	}
+	return nil
 }
 
 // waitIdle waits until nothing runs, at most for grace.
--- a/availability/notices.go
+++ b/availability/notices.go
@@ -119,6 +119,11 @@
 	return draining, backoff
 }
 
+// Forget drops what a start has announced, as its process has ended.
+func (n *Notices) Forget(id sandbarrow.InstanceID) {
+	delete(n.byStart, id)
+}
+
 // entry returns the notice of a start, a new one where there is none.
 func (n *Notices) entry(id sandbarrow.InstanceID) *notice {
 	e := n.byStart[id]
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -106,13 +106,17 @@
 	if before.Outcome == sandbarrow.OutcomeUnknown && now.Outcome == sandbarrow.OutcomeNotRun {
 		return before
 	}
-	both := before.Reason == sandbarrow.ReasonUpstreamLimit && now.Reason == before.Reason
-	if both && before.RetryAfter < now.RetryAfter {
+	if acceptsLater(before) && acceptsLater(now) && before.RetryAfter < now.RetryAfter {
 		return before
 	}
 	return now
 }
 
+// acceptsLater reports whether a refusal says when its upstream accepts a request.
+func acceptsLater(r *sandbarrow.Refusal) bool {
+	return r.Reason == sandbarrow.ReasonUpstreamBackoff || r.Reason == sandbarrow.ReasonUpstreamLimit
+}
+
 // try makes one attempt at an upstream.
 func (e *Entry) try(ctx context.Context, j *job, index int) verdict {
 	hasLeft := verdict{free: true, retry: true, refusal: sandbarrow.NotRun(sandbarrow.ReasonNoUpstream, "the agent has just left", noUpstreamPause)}
@@ -157,7 +161,7 @@
 	}
 	v := verdict{refusal: refusal}
 	switch refusal.Reason {
-	case sandbarrow.ReasonDraining, sandbarrow.ReasonIncarnation, sandbarrow.ReasonUpstreamLimit:
+	case sandbarrow.ReasonDraining, sandbarrow.ReasonIncarnation, sandbarrow.ReasonUpstreamBackoff, sandbarrow.ReasonUpstreamLimit:
 		v.free, v.retry = true, true
 	case sandbarrow.ReasonDeadline, sandbarrow.ReasonStore:
 		// Another agent asks the same store.
--- a/outcome.go
+++ b/outcome.go
@@ -52,6 +52,8 @@
 	ReasonUnauthenticated Reason = "unauthenticated"
 	ReasonUnknownModel    Reason = "unknown-model"
 	ReasonUpstream        Reason = "upstream"
+	// ReasonUpstreamBackoff is a request for which the upstreams want none now.
+	ReasonUpstreamBackoff Reason = "upstream-backoff"
 	// ReasonUpstreamLimit is a request for which the upstreams have had what they take.
 	ReasonUpstreamLimit Reason = "upstream-limit"
 )
