Count what an upstream announces for its next start, where the list does not show that yet

A dial that is refused shows that a start has ended (forward.ErrNothingListens). What is announced under its id after that is its next start's: it counts at once, and goes with the next start that the list shows. An upstream that does not say when it started begins anew with its end. An end that no dial has met is not known, as before.

--- a/availability/notices.go
+++ b/availability/notices.go
@@ -28,12 +28,22 @@
 	DrainingFor time.Duration
 }
 
-// notice is what one start of an upstream has announced.
-type notice struct {
+// word is what an upstream has announced.
+type word struct {
 	// backoffUntil and drainingSince are zero where it has announced neither.
 	backoffUntil, drainingSince time.Time
 	// listed says that the list has shown that it drains too.
 	listed bool
+}
+
+// notice is what one start of an upstream has announced.
+type notice struct {
+	word
+	// ended says that nothing listened at its address since then: what answers there under its
+	// id is its next start, which the list may not show yet.
+	ended bool
+	// next is what that start has announced.
+	next word
 	// used is when the notice was last announced or looked at.
 	used time.Time
 }
@@ -49,7 +59,9 @@
 // Notices keeps what upstreams announce of themselves in their answers, by their starts: one
 // that has started again has announced nothing. The zero Notices is empty.
 type Notices struct {
-	byStart  map[sandbarrow.InstanceID]*notice
+	byStart map[sandbarrow.InstanceID]*notice
+	// ended counts the starts that have ended.
+	ended    int
 	forgotAt time.Time
 }
 
@@ -64,26 +76,52 @@
 	}
 	e := n.entry(id)
 	e.used = now
-	change := Change{Backoff: a.Backoff > 0 && !now.Before(e.backoffUntil), Draining: a.Draining && e.drainingSince.IsZero()}
+	w := &e.word
+	if e.ended {
+		w = &e.next
+	}
+	change := Change{Backoff: a.Backoff > 0 && !now.Before(w.backoffUntil), Draining: a.Draining && w.drainingSince.IsZero()}
 	if change.Draining {
-		e.drainingSince = now
+		w.drainingSince = now
 	}
-	if until := now.Add(a.Backoff); until.After(e.backoffUntil) {
-		e.backoffUntil = until
+	if until := now.Add(a.Backoff); until.After(w.backoffUntil) {
+		w.backoffUntil = until
 	}
 	return change
 }
 
+// Ended notes that nothing listened at the address of a start: what it has announced is not said of
+// what answers there later, and the reverse. Of an upstream that does not say when it started, all
+// starts have one id, and the next one has announced nothing.
+func (n *Notices) Ended(now time.Time, id sandbarrow.InstanceID) {
+	if id == sandbarrow.InstanceID(id.Listed()) {
+		n.drop(id)
+		return
+	}
+	e := n.entry(id)
+	if !e.ended {
+		n.ended++
+	}
+	e.ended, e.used = true, now
+}
+
 // Look returns what an upstream has announced.
 func (n *Notices) Look(now time.Time, id sandbarrow.InstanceID) Notice {
-	e := n.byStart[id]
+	e := n.find(id)
 	if e == nil {
 		return Notice{}
 	}
 	e.used = now
-	l := Notice{Backoff: max(0, e.backoffUntil.Sub(now)), Draining: !e.drainingSince.IsZero()}
+	until, since := e.backoffUntil, e.drainingSince
+	if e.next.backoffUntil.After(until) {
+		until = e.next.backoffUntil
+	}
+	if since.IsZero() {
+		since = e.next.drainingSince
+	}
+	l := Notice{Backoff: max(0, until.Sub(now)), Draining: !since.IsZero()}
 	if l.Draining {
-		l.DrainingFor = now.Sub(e.drainingSince)
+		l.DrainingFor = now.Sub(since)
 	}
 	return l
 }
@@ -92,13 +130,12 @@
 // may lag, or never show it; once it has, an entry that is ready again is that of another start,
 // also where neither says when it started.
 func (n *Notices) drains(now time.Time, in *sandbarrow.Instance) bool {
-	e := n.byStart[in.ID]
-	if e == nil || e.drainingSince.IsZero() {
+	if !n.Look(now, in.ID).Draining {
 		return in.Draining
 	}
-	e.used = now
+	e := n.byStart[in.ID]
 	if e.listed && !in.Draining {
-		e.drainingSince, e.listed = time.Time{}, false
+		n.drop(in.ID)
 		return false
 	}
 	e.listed = in.Draining
@@ -109,10 +146,10 @@
 // requests now.
 func (n *Notices) Count(now time.Time) (draining, backoff int) {
 	for _, e := range n.byStart {
-		if !e.drainingSince.IsZero() {
+		if !e.drainingSince.IsZero() || !e.next.drainingSince.IsZero() {
 			draining++
 		}
-		if now.Before(e.backoffUntil) {
+		if now.Before(e.backoffUntil) || now.Before(e.next.backoffUntil) {
 			backoff++
 		}
 	}
@@ -121,13 +158,29 @@
 
 // Forget drops what a start has announced, as its process has ended.
 func (n *Notices) Forget(id sandbarrow.InstanceID) {
-	delete(n.byStart, id)
+	n.drop(id)
+}
+
+// find returns the notice of a start, or nil. A start of which nothing is known yet has announced
+// what was announced after the end of the one before it.
+func (n *Notices) find(id sandbarrow.InstanceID) *notice {
+	if e := n.byStart[id]; e != nil || n.ended == 0 {
+		return e
+	}
+	for before, e := range n.byStart {
+		if e.ended && before.Listed() == id.Listed() {
+			n.drop(before)
+			next := &notice{word: e.next}
+			n.byStart[id] = next
+			return next
+		}
+	}
+	return nil
 }
 
 // entry returns the notice of a start, a new one where there is none.
 func (n *Notices) entry(id sandbarrow.InstanceID) *notice {
-	e := n.byStart[id]
-	if e != nil {
+	if e := n.find(id); e != nil {
 		return e
 	}
 	if n.byStart == nil {
@@ -136,11 +189,19 @@
 	if len(n.byStart) >= maxNotices {
 		n.dropOldest()
 	}
-	e = &notice{}
+	e := &notice{}
 	n.byStart[id] = e
 	return e
 }
 
+// drop drops the notice of a start.
+func (n *Notices) drop(id sandbarrow.InstanceID) {
+	if e := n.byStart[id]; e != nil && e.ended {
+		n.ended--
+	}
+	delete(n.byStart, id)
+}
+
 // forget drops what nobody looks at any more, and backoffs that are over.
 func (n *Notices) forget(now time.Time) {
 	if now.Sub(n.forgotAt) < forgetPause {
@@ -148,9 +209,9 @@
 	}
 	n.forgotAt = now
 	for id, e := range n.byStart {
-		over := e.drainingSince.IsZero() && !now.Before(e.backoffUntil)
+		over := e.drainingSince.IsZero() && !e.ended && !now.Before(e.backoffUntil)
 		if over || now.Sub(e.used) > keepFor {
-			delete(n.byStart, id)
+			n.drop(id)
 		}
 	}
 }
@@ -164,5 +225,5 @@
 			oldest, least = id, e
 		}
 	}
-	delete(n.byStart, oldest)
+	n.drop(oldest)
 }
--- a/availability/notices_test.go
+++ b/availability/notices_test.go
@@ -66,3 +66,41 @@
 	draining, backoff := n.Count(now)
 	assert.Assert(t, draining == maxNotices && backoff == 0)
 }
+
+func TestNextStartHasAnnouncedWhatCameAfterAnEnd(t *testing.T) {
+	now := time.Now()
+	drains := sandbarrow.Announcement{Draining: true}
+	for _, first := range []sandbarrow.Announcement{{}, drains} {
+		var n Notices
+		n.Apply(now, upstream, http.StatusOK, first)
+		n.Ended(now, upstream)
+		assert.Equal(t, n.Look(now, restart), Notice{}, "it has announced nothing")
+		n.Ended(now, restart)
+		n.Apply(now, restart, http.StatusOK, drains)
+		n.Apply(now, restart, http.StatusServiceUnavailable, sandbarrow.Announcement{Backoff: time.Second})
+		want := Notice{Backoff: time.Second, Draining: true}
+		assert.Equal(t, n.Look(now, restart), want, "the list does not show its next start yet")
+		assert.Equal(t, n.Look(now, "v@3"), Notice{}, "another upstream")
+		assert.Equal(t, n.Look(now, "u@3"), want)
+		assert.Assert(t, len(n.byStart) == 1 && n.ended == 0)
+	}
+}
+
+func TestEndOfAnUpstreamThatDoesNotSayWhenItStarted(t *testing.T) {
+	now := time.Now()
+	var n Notices
+	n.Apply(now, "u", http.StatusOK, sandbarrow.Announcement{Draining: true})
+	n.Ended(now, "u")
+	assert.Equal(t, n.Look(now, "u"), Notice{})
+}
+
+func TestEndsAreForgotten(t *testing.T) {
+	now := time.Now()
+	var n Notices
+	for i := range maxNotices + 10 {
+		n.Ended(now, sandbarrow.NewInstanceID(sandbarrow.ListedID(fmt.Sprint(i)), 1))
+	}
+	assert.Assert(t, len(n.byStart) == maxNotices && n.ended == maxNotices)
+	n.Apply(now.Add(keepFor+time.Second), upstream, http.StatusOK, sandbarrow.Announcement{})
+	assert.Assert(t, len(n.byStart) == 0 && n.ended == 0)
+}
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -31,8 +31,13 @@
 	readBufferBytes = 4 << 10
 )
 
-// ErrNotSent means that no byte of the request left.
-const ErrNotSent = errors.ConstError("forward: not sent")
+// The errors of a send that had no effect.
+const (
+	// ErrNothingListens is an ErrNotSent since nothing listens at the address.
+	ErrNothingListens = errors.ConstError("forward: nothing listens")
+	// ErrNotSent means that no byte of the request left.
+	ErrNotSent = errors.ConstError("forward: not sent")
+)
 
 // ErrBroken means that the request was sent and has no complete answer.
 const ErrBroken = errors.ConstError("forward: broken")
@@ -113,7 +118,11 @@
 	d := net.Dialer{Timeout: DialTimeout, Control: setUnackedTimeout, KeepAlive: -1}
 	c, err := d.DialContext(ctx, "tcp", p.address)
 	if err != nil {
-		return nil, errors.Annotate(ErrNotSent, err.Error())
+		notSent := errors.Annotate(ErrNotSent, err.Error())
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return nil, errors.WithType(notSent, ErrNothingListens)
+		}
+		return nil, notSent
 	}
 	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes)}, nil
 }
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -252,6 +252,7 @@
 	sent := c.sentNow(e.instance)
 	a, err := c.gateway.pool(e.instance).Send(ctx, c.upstreamRequest(e.instance, version))
 	if errors.Is(err, forward.ErrNotSent) {
+		c.gateway.upstreams.noteUnsent(e.instance, err)
 		return c.end(ctx, verdictNotSent, err)
 	}
 	c.sent++
--- a/gateway/serveplain.go
+++ b/gateway/serveplain.go
@@ -120,6 +120,7 @@
 		c.last = in.ID
 	}
 	if err != nil {
+		c.gateway.upstreams.noteUnsent(in, err)
 		return nil, err
 	}
 	defer a.Close()
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
+
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/availability"
 	"sandbarrow.example/sandbarrow/enginelink"
@@ -85,6 +87,16 @@
 	}
 }
 
+// noteUnsent notes what a request that could not be sent shows of its upstream.
+func (u *upstreams) noteUnsent(in *sandbarrow.Instance, err error) {
+	if !errors.Is(err, forward.ErrNothingListens) {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.table.Notices.Ended(boottime.Now(), in.ID)
+}
+
 // observeLimit applies the limit that an upstream names in an answer; nil where it names none.
 func (u *upstreams) observeLimit(id sandbarrow.InstanceID, sent time.Time, status int, named *sandbarrow.RequestRate) {
 	if named == nil && !u.limits.Load() {
