--- a/crash/storm_test.go
+++ b/crash/storm_test.go
@@ -275,3 +275,25 @@
 	}
 	assert.Check(t, stormRefused*stormInnocence <= stormAll, "%d of %d refused in storms", stormRefused, stormAll)
 }
+
+func TestManyFatalRequestsAreEachHeld(t *testing.T) {
+	for _, fatal := range []int{4, 8} {
+		for seed := range uint64(3) {
+			s := newStorm(seed, 5, 9, fatal, 0)
+			s.play(1500, 60, 800*time.Millisecond)
+			for i, sent := range s.sentAfter {
+				assert.Check(t, sent <= 3, "seed %d: request %d of %d ended %d upstreams, %d sends after the bound", seed, i, fatal, s.ended[i], sent)
+			}
+		}
+	}
+}
+
+func TestNoInnocentIsRefusedBesideMany(t *testing.T) {
+	for _, fatal := range []int{4, 8} {
+		for seed := range uint64(3) {
+			s := newStorm(seed, 5, 9, fatal, 0)
+			s.play(1500, 60, 800*time.Millisecond)
+			assert.Check(t, s.innocentsRefused == 0, "seed %d, %d fatal: %d of %d innocent requests refused, %v ends", seed, fatal, s.innocentsRefused, s.innocents, s.ended)
+		}
+	}
+}
