--- a/agent/ends_test.go
+++ b/agent/ends_test.go
@@ -16,8 +16,6 @@
 	"sandbarrow.example/sandbarrow/wire"
 )
 
-// A run that breaks counts where its upstream has ended, and once for each end; runs that
-// broke with that end, and are seen later, count for the same.
 func TestRunsBreakWithTheirUpstream(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/agent/orders_test.go
+++ b/agent/orders_test.go
@@ -83,8 +83,6 @@
 	return len(a.scheduler.Resident())
 }
 
-// TestOrderMissesNextStart tells what an engine met: it restarted while its order waited
-// for an unload, and was sent the load that had been decided for its start before.
 func TestOrderMissesNextStart(t *testing.T) {
 	engine := &fakeEngine{state: sandbarrow.UpstreamState{Start: "second"}}
 	a, o := restartedAgent(t, engine)
@@ -93,8 +91,6 @@
 	assert.Equal(t, a.holds(), 0)
 }
 
-// TestLoadAcrossRestartIsLookedUp checks that a load which ends after a restart counts by
-// what the engine says alone: it may have reached the new start, or not.
 func TestLoadAcrossRestartIsLookedUp(t *testing.T) {
 	engine := &fakeEngine{state: sandbarrow.UpstreamState{Start: "second"}}
 	a, o := restartedAgent(t, engine)
@@ -107,8 +103,6 @@
 	await.Until(t, 5*time.Second, "the engine's list is taken in", func() bool { return a.holds() == 1 })
 }
 
-// TestListOfAnotherStart tells what requests met: a list that an engine gave before its
-// restart was taken in after it, and drew requests to adapters that were gone.
 func TestListOfAnotherStart(t *testing.T) {
 	engine := &fakeEngine{state: sandbarrow.UpstreamState{Start: "first", Loaded: map[sandbarrow.ModelRef]int{testModel: 0}}}
 	a, o := restartedAgent(t, engine)
--- a/availability/outcomes_test.go
+++ b/availability/outcomes_test.go
@@ -36,8 +36,6 @@
 	assert.Equal(t, inFlight, 0)
 }
 
-// A process that runs for long sees many upstreams come and go: those that are gone are
-// forgotten, one that still runs a request is not.
 func TestGoneUpstreamsAreForgotten(t *testing.T) {
 	now := time.Now()
 	var table Outcomes
--- a/claim/calls_test.go
+++ b/claim/calls_test.go
@@ -10,8 +10,6 @@
 	"sandbarrow.example/sandbarrow/store"
 )
 
-// BenchmarkStoreCalls reports the calls of the store for each once-only
-// request: alone, under racing repeats, and with a tenth of the replies lost.
 func BenchmarkStoreCalls(b *testing.B) {
 	for name, tc := range map[string]struct{ lostEach, racers int }{
 		"alone":        {0, 1},
--- a/claim/overtakenvoid_test.go
+++ b/claim/overtakenvoid_test.go
@@ -80,8 +80,6 @@
 	}
 }
 
-// TestOvertakenVoid starts attempt 4 over a void of attempt 1 before the voider, whose
-// reply was lost, reads back. No other attempt may start.
 func TestOvertakenVoid(t *testing.T) {
 	kv := store.NewMemory()
 	other := NewStore(kv)
@@ -94,8 +92,6 @@
 	}
 }
 
-// TestOvertakenVoidOutlivesARelease lets attempt 4 give up without a run. The void of
-// attempt 1 stands, and a later attempt may run, once.
 func TestOvertakenVoidOutlivesARelease(t *testing.T) {
 	kv := store.NewMemory()
 	other := NewStore(kv)
@@ -111,8 +107,6 @@
 	assertRefused(t, 6, ErrStarted, claimers...)
 }
 
-// TestOvertakenVoidOutlivesAnAbandonedClaim lets attempt 4 start without any reply, so
-// that it doesn't run. Its claimer may start a later attempt, but never attempt 1.
 func TestOvertakenVoidOutlivesAnAbandonedClaim(t *testing.T) {
 	kv := store.NewMemory()
 	// The lease, a write in vain and a read are answered; the write that lands and all
@@ -130,8 +124,6 @@
 	assertRefused(t, 6, ErrStarted, voider, other, NewStore(kv))
 }
 
-// TestOvertakenVoidHasTwoPoints records such a void between a refused start and one that
-// won. No single point of effect explains it.
 func TestOvertakenVoidHasTwoPoints(t *testing.T) {
 	kv := store.NewMemory()
 	w := &watchedWrites{Store: kv}
@@ -177,8 +169,6 @@
 
 func voidIn(attempt sandbarrow.Attempt) claimInput { return claimInput{attempt: attempt} }
 
-// TestForgedHistories checks that histories of real faults are rejected. Where a void was
-// overtaken, whole tells whether a check that takes it for one point accepts the history.
 func TestForgedHistories(t *testing.T) {
 	for name, tc := range map[string]struct {
 		history       []porcupine.Operation
--- a/claim/storeclaimer_test.go
+++ b/claim/storeclaimer_test.go
@@ -59,8 +59,6 @@
 	}
 }
 
-// TestAbandonedClaimKeepsTheVoid voids attempt 1, lets attempt 2 claim without
-// running and fail to release, and checks that attempt 1 may not run after all.
 func TestAbandonedClaimKeepsTheVoid(t *testing.T) {
 	ctx := context.Background()
 	fault := storetest.None
@@ -79,8 +77,6 @@
 	assert.NilError(t, s.Start(ctx, id, sandbarrow.Claim{Attempt: 3, Token: "third"}))
 }
 
-// TestClaimsUnderFaults checks that of racing agents and entries, with lost
-// calls and replies, at most one may run and no voided attempt runs.
 func TestClaimsUnderFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		kv := store.NewMemory()
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -82,9 +82,6 @@
 	return d
 }
 
-// TestApplyUnderFaults lets operators race over a store that loses calls and
-// replies, and followers read what comes: each accepted apply is one revision,
-// no conflict or refusal has changed anything, and no follower goes back.
 func TestApplyUnderFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		kv := store.NewMemory()
@@ -166,10 +163,6 @@
 	})
 }
 
-// TestVersionKeepsItsWeights shows what callers got: version v1 was loaded from one path
-// and in use; operators accepted another path for v1. Engines and their agents know what
-// is loaded by adapter and version alone, so that those which held v1 went on with the
-// old weights, later loads took the new ones, and both answered as v1.
 func TestVersionKeepsItsWeights(t *testing.T) {
 	kv := store.NewMemory()
 	ctx := t.Context()
@@ -189,8 +182,6 @@
 	assert.Equal(t, after.Revision, before.Revision)
 }
 
-// TestRacingVersions lets two operators name the same new version with other weights:
-// one is accepted, and the other can't replace its weights by reading the new revision.
 func TestRacingVersions(t *testing.T) {
 	kv := store.NewMemory()
 	ctx := t.Context()
@@ -220,8 +211,6 @@
 	return d
 }
 
-// TestStoredVersionChangeIsRead lets a follower read a head, accepted before, that gives a
-// version other weights: what is stored stays readable and goes into force.
 func TestStoredVersionChangeIsRead(t *testing.T) {
 	f := NewFollower(store.NewMemory(), slog.New(slog.NewTextHandler(io.Discard, nil)))
 	for i, weights := range []string{"old", "new"} {
@@ -235,8 +224,6 @@
 	assert.Equal(t, f.Mark().Revision, sandbarrow.Revision(2))
 }
 
-// TestVersionsNotCompared loses a shard of the configuration in force: nothing is accepted
-// whose versions can't be compared with it.
 func TestVersionsNotCompared(t *testing.T) {
 	kv := store.NewMemory()
 	ctx, cancel := context.WithCancel(t.Context())
--- a/config/silent_test.go
+++ b/config/silent_test.go
@@ -21,10 +21,6 @@
 // tells the others.
 const silentFrom = 4 * time.Second
 
-// The story of the failure: the answers of the store to all watches are lost, without a
-// reset, and a change comes right after that. All processes had begun their watches with the
-// change before, for equally long, so that none heard of the new one for 9 s, and none could
-// tell the others. It is the second path of what TestSilentWatchIsGivenUpInTime tells.
 func TestSilentStoreIsNoticed(t *testing.T) {
 	kv := standin.NewKV(standin.KVLimits{})
 	var lost atomic.Int32
--- a/controller/acquirecall_test.go
+++ b/controller/acquirecall_test.go
@@ -11,8 +11,6 @@
 	"sandbarrow.example/sandbarrow/promptcache"
 )
 
-// A gateway that ends an acquire, since its caller has left, keeps neither a place in the
-// queue nor a pin, whether the adapter is loaded meanwhile or not.
 func TestGatewayThatLeavesHoldsNothing(t *testing.T) {
 	f := newFakeEngine(testSlots)
 	f.models = []sandbarrow.BaseModelID{testModel}
@@ -61,8 +59,6 @@
 	assert.Equal(t, len(l.pins), 0)
 }
 
-// A gateway that does not know the newest version yet is not granted an older one: the
-// controller knows it and has it loaded first.
 func TestGrantsNoVersionKnownToBeOld(t *testing.T) {
 	f := newFakeEngine(testSlots)
 	f.models = []sandbarrow.BaseModelID{testModel}
@@ -91,9 +87,6 @@
 	assert.Equal(t, g.Refused, enginelink.RefuseReason(""))
 }
 
-// A request that waits for an adapter belongs to the start of the engine that it names: it
-// is refused when the engine has restarted, not granted after a load in vain. A late
-// report that a prompt was read there does not count for the new start.
 func TestRestartEndsWhatWaits(t *testing.T) {
 	f := newFakeEngine(testSlots)
 	f.models = []sandbarrow.BaseModelID{testModel}
@@ -135,8 +128,6 @@
 	assert.Equal(t, c.slots.kept.Kept(read.Weights(), s), 0)
 }
 
-// An engine that came up with its base model and was never ordered anything has restarted
-// where it holds no base model any more: its count of orders does not show it.
 func TestRestartWithoutOrdersIsSeen(t *testing.T) {
 	f := newFakeEngine(testSlots)
 	f.models = []sandbarrow.BaseModelID{testModel}
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -111,8 +111,6 @@
 	assert.Equal(t, g.Version, sandbarrow.AdapterVersion(2))
 }
 
-// An order that got no answer before a restart must not be carried out by the
-// next start, whose sequence comes to the same number.
 func TestLateOrderMissesNextStart(t *testing.T) {
 	f := newFakeEngine(testSlots)
 	c := newTestController(t, f)
@@ -130,8 +128,6 @@
 	assert.Equal(t, len(f.loaded), 0, "a late order of the time before the restart was carried out")
 }
 
-// However many orders get no answer and come late, the engine is never ordered
-// to hold more than it has slots.
 func TestLateOrdersNeverOverfill(t *testing.T) {
 	f := newFakeEngine(testSlots)
 	c := newTestController(t, f)
@@ -178,8 +174,6 @@
 	assert.Assert(t, held, "a slot came free")
 }
 
-// A version that is named while the older one runs replaces it after the runs,
-// and nothing is granted on the older one meanwhile.
 func TestNewVersionReplacesAfterRuns(t *testing.T) {
 	f := newFakeEngine(testSlots)
 	c := newTestController(t, f)
@@ -199,8 +193,6 @@
 	assert.Equal(t, (<-w.grant).Version, sandbarrow.AdapterVersion(2))
 }
 
-// An engine that nobody has asked yet tells its free slots; else gateways would
-// never ask it.
 func TestIdleEngineTellsFreeSlots(t *testing.T) {
 	f := newFakeEngine(testSlots)
 	f.models = []sandbarrow.BaseModelID{testModel}
@@ -211,8 +203,6 @@
 	assert.Equal(t, c.status().Free, testSlots)
 }
 
-// Under overload a request that can still be answered in time goes before one
-// that can't, and of two such the more urgent one.
 func TestQueuePrefersWhatCanBeInTime(t *testing.T) {
 	s := newSlots(evict.NewCost())
 	s.capacity = 1
@@ -234,8 +224,6 @@
 	assert.Equal(t, o.Adapter, sandbarrow.AdapterID("late"))
 }
 
-// A controller that starts anew is told which uses go on, and unloads none of
-// their adapters, though it has not read the engine's report before.
 func TestUsesOutliveTheController(t *testing.T) {
 	f := newFakeEngine(testSlots)
 	f.models = []sandbarrow.BaseModelID{testModel}
@@ -294,9 +282,6 @@
 	assert.Equal(t, c.slots.pins[key("a")], 0)
 }
 
-// The story of the failure: an engine starts again under the id that it had while an order
-// to load is on its way. Its sequence begins anew, and when it comes to the number that the
-// order names, the order is carried out: by then the slots are full, and the engine ends.
 func TestLateLoadOfAnEarlierStartFindsASlot(t *testing.T) {
 	f := newFakeEngine(testSlots)
 	f.sameID, f.started = true, 100
@@ -330,8 +315,6 @@
 	assert.Assert(t, !f.overfull, "a late load of the time before the restart found no slot")
 }
 
-// An engine that starts again under its id, with as many orders as before, is another
-// instance: what waits for the last one is refused, and so is who knows that one.
 func TestStartUnderTheSameID(t *testing.T) {
 	f := newFakeEngine(testSlots)
 	f.sameID, f.started = true, 100
--- a/controller/frozen_test.go
+++ b/controller/frozen_test.go
@@ -12,9 +12,6 @@
 	"sandbarrow.example/sandbarrow/internal/boottime"
 )
 
-// A controller that was stopped for longer than its gateways wait for a status goes on with
-// what they sent it before they gave it up. The pins that they took without it come behind,
-// or are lost with the connection: it unloads nothing until they had the time to link anew.
 func TestNoUnloadRightAfterAFreeze(t *testing.T) {
 	f := newFakeEngine(testSlots)
 	f.models = []sandbarrow.BaseModelID{testModel}
--- a/controller/kept_test.go
+++ b/controller/kept_test.go
@@ -40,8 +40,6 @@
 	return v.mirror.Kept(w, s)
 }
 
-// What the engine keeps of a prompt is reported to all gateways once it is read, also to
-// one that is linked later, and is gone with the adapter.
 func TestKeptPartsAreReported(t *testing.T) {
 	f := newFakeEngine(testSlots)
 	f.models = []sandbarrow.BaseModelID{testModel}
@@ -87,9 +85,6 @@
 	})
 }
 
-// What an engine keeps is kept for the weights with which it ran the request, not for the
-// version that the request asked for, and goes when the engine replaces the adapter or
-// comes up with another version of the base model.
 func TestKeptPartsAreOfTheWeightsThatRan(t *testing.T) {
 	f := newFakeEngine(testSlots)
 	f.models = []sandbarrow.BaseModelID{testModel}
--- a/controller/loadwindow_test.go
+++ b/controller/loadwindow_test.go
@@ -27,8 +27,6 @@
 	assert.Equal(t, w.size(), 2)
 }
 
-// An adapter that came out of the engine's own memory, though it was not expected there,
-// does not make the loads from the weight store look slow.
 func TestUnexpectedRecallKeepsTheWindowOpen(t *testing.T) {
 	s := newSlots(evict.NewCost())
 	for range 20 {
@@ -43,8 +41,6 @@
 	assert.Equal(t, s.window.seen, enginelink.Loads{Count: 40, TookMS: 265})
 }
 
-// A crowd at the weight store holds up neither the adapter that most requests
-// wait for nor one that the engine's own memory still holds.
 func TestCrowdedLoadsComeByValue(t *testing.T) {
 	s := newSlots(evict.NewCost())
 	s.capacity = 6
@@ -72,8 +68,6 @@
 	assert.Equal(t, order(), sandbarrow.AdapterID("known"), "the engine's own memory is no part of the crowd")
 }
 
-// An older version in the engine's own memory does not bring the one that is wanted: its
-// load waits for the window as any other from the weight store, and is counted as one.
 func TestOlderVersionIsNoRecall(t *testing.T) {
 	s := newSlots(evict.NewCost())
 	s.capacity = 6
--- a/controller/orphan_test.go
+++ b/controller/orphan_test.go
@@ -45,8 +45,6 @@
 	await.Until(t, 5*time.Second, "what is awaited", ok)
 }
 
-// A request goes on at its engine when the link of its gateway breaks: its
-// adapter stays in use until the gateway has linked anew, or a moment passed.
 func TestUseOutlivesItsLink(t *testing.T) {
 	f := newFakeEngine(testSlots)
 	f.models = []sandbarrow.BaseModelID{testModel}
@@ -68,9 +66,6 @@
 	eventually(t, func() bool { return c.usesOf("a") == 0 })
 }
 
-// A controller that lost all its links for longer than orphanGrace may not know the
-// pins that a gateway took without it. It unloads nothing on behalf of the first
-// gateway that is linked again before the others had time to report theirs.
 func TestPinsOfAnotherGatewayAreAwaited(t *testing.T) {
 	f := newFakeEngine(testSlots)
 	f.models = []sandbarrow.BaseModelID{testModel}
@@ -106,8 +101,6 @@
 	})
 }
 
-// A request whose gateway linked anew before its old link ended here is counted twice until
-// then; its end leaves no use behind.
 func TestDoneEndsTheOrphanToo(t *testing.T) {
 	f := newFakeEngine(testSlots)
 	f.models = []sandbarrow.BaseModelID{testModel}
--- a/controller/publisher_test.go
+++ b/controller/publisher_test.go
@@ -24,8 +24,6 @@
 	assert.Assert(t, p.apply(now.Add(publishPause+enginelink.Heartbeat), enginelink.Status{Free: 2}))
 }
 
-// The statuses that a controller sends in a second must not grow with the
-// number of gateways, however often its engine changes.
 func TestStatusesOfManyGatewaysAreBounded(t *testing.T) {
 	const gateways = 40
 	c := newTestController(t, newFakeEngine(testSlots))
@@ -55,8 +53,6 @@
 	assert.Assert(t, rate <= most, "%.0f statuses a second, at most %.0f", rate, most)
 }
 
-// A link that has the status before gets what has changed, where its gateway reads
-// changes; one that missed a status gets all of it.
 func TestPublisherSendsChanges(t *testing.T) {
 	held := func(first int) enginelink.Status {
 		s := enginelink.Status{Free: 1, Gateways: 100, Instance: "i-7f3a91c2", Models: []sandbarrow.BaseModelID{testModel}, Running: 9, Speed: readspeed.Prior, WaitingTokens: 5000}
--- a/controller/reading_test.go
+++ b/controller/reading_test.go
@@ -10,8 +10,6 @@
 	"sandbarrow.example/sandbarrow/readspeed"
 )
 
-// What waits is counted by priority from the grant until the answer begins or the
-// request ends without one.
 func TestReadingCountsWhatWaits(t *testing.T) {
 	now := time.Unix(0, 0)
 	var r reading
@@ -27,8 +25,6 @@
 	assert.Equal(t, r.waiting(), enginelink.Waiting{})
 }
 
-// An engine that reads one prompt after the other is known for its speed, whether
-// prompts find it idle or busy.
 func TestReadingLearnsTheSpeed(t *testing.T) {
 	engine := readspeed.Speed{Base: 10 * time.Millisecond, PerToken: 20 * time.Microsecond}
 	for name, every := range map[string]time.Duration{"idle": time.Second, "busy": 110 * time.Millisecond} {
--- a/controller/readwindow_test.go
+++ b/controller/readwindow_test.go
@@ -13,9 +13,6 @@
 	"sandbarrow.example/sandbarrow/evict"
 )
 
-// Whatever an engine may read at once before its streams pause for too long, the window
-// comes near it from above and stays there, and an engine whose streams never pause is
-// not held up.
 func TestReadWindowFindsWhatAnEngineBears(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		bears := rapid.IntRange(4_000, 60_000).Draw(t, "bears")
@@ -51,8 +48,6 @@
 	assert.Assert(t, w.admits(mostReadTokens))
 }
 
-// Prompts whose gateway reports nothing, since it is frozen, hold up those of others for a
-// while only.
 func TestSilentGatewayDoesNotHoldUpOthers(t *testing.T) {
 	f := newFakeEngine(testSlots)
 	f.models = []sandbarrow.BaseModelID{testModel}
@@ -73,8 +68,6 @@
 	assert.Equal(t, len(other.grant), 1)
 }
 
-// A prompt waits until the engine has read enough of those before it, the most urgent one
-// first; one that is longer than the window is read alone.
 func TestPromptsWaitForTheReadWindow(t *testing.T) {
 	s := newSlots(evict.NewCost())
 	s.capacity = 2
--- a/controller/suspension_test.go
+++ b/controller/suspension_test.go
@@ -9,13 +9,7 @@
 	"sandbarrow.example/sandbarrow/internal/boottime"
 )
 
-// A machine may be suspended for seconds: its steady clock stands still meanwhile, while
-// what others hold runs on (a lease in the store, a caller's patience, the other end of a
-// link). An age that the steady clock counts is then too young, and guards nothing.
-//
-// A controller that was suspended for longer than its gateways wait for a status knows that
-// they may have taken pins without it.
-func TestSuspension(t *testing.T) {
+func TestUnloadsWaitAfterASuspension(t *testing.T) {
 	c := newTestController(t, newFakeEngine(testSlots))
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/crash/log_test.go
+++ b/crash/log_test.go
@@ -134,8 +134,6 @@
 	}
 }
 
-// What is kept is bounded, and what matters most stays: requests under which most upstreams
-// have ended.
 func TestLogIsBounded(t *testing.T) {
 	c := newClock()
 	l := NewLog(c.now)
--- a/crash/storm_test.go
+++ b/crash/storm_test.go
@@ -232,12 +232,6 @@
 // request in so many may be refused at most, as chanceOfInnocence says; in calmer worlds none.
 const stormInnocence = 10_000
 
-// A request that ends upstreams is refused after a few, while none is refused that only ran
-// beside it, or met the ends of upstreams in a storm of ordinary crashes.
-//
-//	SANDBARROW_STORMS=24 go test ./crash -run TestNoInnocentIsRefused -v
-//
-// plays that many worlds of each kind.
 func TestNoInnocentIsRefused(t *testing.T) {
 	seeds := uint64(3)
 	if text := os.Getenv("SANDBARROW_STORMS"); text != "" {
--- a/directory/anyorder_test.go
+++ b/directory/anyorder_test.go
@@ -177,9 +177,6 @@
 	return false
 }
 
-// In whatever order, however late and however often answers of watches, whole reads and
-// peers' changes and lists arrive, no upstream goes back, none is shown older than the
-// mark says, and in the end all gateways show what the history in its order shows.
 func TestNothingGoesBackInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := newNetwork(drawHistory(t), 3)
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -86,8 +86,6 @@
 	}
 }
 
-// Upstreams that left together after an outage of the store stay in use for a
-// grace, and those that do not come back leave after it.
 func TestMassGoneAfterOutage(t *testing.T) {
 	d := newDirectory()
 	d.confirmedAt = boottime.Now().Add(-2 * outageAfter)
@@ -101,9 +99,7 @@
 	assert.Equal(t, ids(d, "s"), "b d")
 }
 
-// An upstream that leaves, or left the list, takes no more work, however long
-// ago it was chosen.
-func TestTakes(t *testing.T) {
+func TestUpstreamThatLeftAcceptsNothing(t *testing.T) {
 	d := newDirectory()
 	chosen := d.View().Service("s")
 	d.Update([]sandbarrow.KeyItem{item("a", 6, "s 1 leaving"), gone("b", 7)}, 7)
@@ -119,9 +115,7 @@
 	assert.Equal(t, len(d.View().All()), 0)
 }
 
-// An upstream that starts again under the id that it had is another instance: what was
-// chosen for the last one is not sent to it, and it counts as new.
-func TestStartedAgainUnderItsID(t *testing.T) {
+func TestStartUnderTheSameIDIsANewInstance(t *testing.T) {
 	d := newDirectory()
 	d.Update([]sandbarrow.KeyItem{item("b", 6, "s 2 @100")}, 6)
 	chosen := d.View().Service("s")[1]
--- a/directory/lapse_test.go
+++ b/directory/lapse_test.go
@@ -28,8 +28,6 @@
 	}
 }
 
-// An upstream in its grace at a peer has a grace here too, and does not stay listed for
-// want of a second word of its end.
 func TestGraceAtAPeerEndsHereToo(t *testing.T) {
 	peer := newDirectory()
 	peer.confirmedAt = boottime.Now().Add(-2 * outageAfter)
@@ -45,8 +43,6 @@
 	assert.Equal(t, ids(starting, "s"), "b d")
 }
 
-// A late answer with the heartbeat of an upstream before its lapse does not end the grace
-// of one that is gone.
 func TestLateHeartbeatDoesNotEndTheGrace(t *testing.T) {
 	d := newDirectory()
 	d.confirmedAt = boottime.Now().Add(-2 * outageAfter)
--- a/directory/learn_test.go
+++ b/directory/learn_test.go
@@ -49,8 +49,6 @@
 	assert.Equal(t, ids(other, "s"), ids(d, "s"))
 }
 
-// An upstream that left the list and came back between two reads is told of as
-// being there.
 func TestAdvanceTellsWhatReturned(t *testing.T) {
 	d, other := newDirectory(), newDirectory()
 	other.Learn(d.Advance([]sandbarrow.KeyItem{gone("a", 6), gone("b", 7), item("b", 8, "s 2"), item("b", 9, "s 2")}, 9))
@@ -66,8 +64,6 @@
 	assert.Assert(t, d.View() == nil)
 }
 
-// A later page of a whole read may be newer than the revision that the read stands for.
-// Others need what it brought, though it changes nothing here when its turn comes.
 func TestChangeAheadOfItsTurnIsTold(t *testing.T) {
 	d, other := newDirectory(), newDirectory()
 	d.Replace([]sandbarrow.KeyItem{
--- a/docs_test.go
+++ b/docs_test.go
@@ -69,8 +69,6 @@
 	return all
 }
 
-// TestDocsNameWhatExists checks the links, tests, files, metrics and commands that
-// the pages name.
 func TestDocsNameWhatExists(t *testing.T) {
 	tests, product := source(t, true), source(t, false)
 	for _, page := range allPages(t) {
@@ -98,8 +96,6 @@
 	}
 }
 
-// TestDecisionsExist checks that each function that docs/DECISIONS.md names stands
-// in the file beside it.
 func TestDecisionsExist(t *testing.T) {
 	found := deciders.FindAllStringSubmatch(read(t, "docs/DECISIONS.md"), -1)
 	assert.Assert(t, len(found) > 30, "%d places are named", len(found))
@@ -112,8 +108,6 @@
 	}
 }
 
-// TestLogEventsExist checks that the product writes each message of the tables of
-// log events.
 func TestLogEventsExist(t *testing.T) {
 	product := source(t, false)
 	text := read(t, "docs/OPERATIONS.md")
@@ -126,8 +120,6 @@
 	}
 }
 
-// TestSettingsAreDocumented checks that docs/OPERATIONS.md names each key of the
-// settings, and no other.
 func TestSettingsAreDocumented(t *testing.T) {
 	text := read(t, "docs/OPERATIONS.md")
 	begin, end := strings.Index(text, "## Settings"), strings.Index(text, "## Log events")
--- a/enginelink/status_test.go
+++ b/enginelink/status_test.go
@@ -47,9 +47,6 @@
 	}
 }
 
-// A reader that gets the changes since its last status has what a reader of the full
-// status has, in whatever order; a status with one changed slot is less than half of
-// the full one.
 func TestStatusChangesSurviveTheWire(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		slots := func(name string) []SlotStatus {
--- a/entry/completion_test.go
+++ b/entry/completion_test.go
@@ -10,8 +10,6 @@
 	"sandbarrow.example/sandbarrow/wire"
 )
 
-// TestLabelKept checks that a kept answer bears the label of what made it, and none where
-// an agent of an older build has not told.
 func TestLabelKept(t *testing.T) {
 	for name, tc := range map[string]struct {
 		origin          wire.Origin
--- a/estate/confirm_test.go
+++ b/estate/confirm_test.go
@@ -38,8 +38,6 @@
 	assert.Equal(t, again, confirmed)
 }
 
-// A table that can't be read here may have withdrawn a key: the last one stays in force,
-// but it is not the newest.
 func TestMalformedTableIsNotConfirmed(t *testing.T) {
 	e := newEstate()
 	e.Update([]sandbarrow.KeyItem{table(1, "4")}, 1)
@@ -173,8 +171,6 @@
 	return "", trusted
 }
 
-// Whatever is held up, lost, reordered or killed, no process trusts a table for longer
-// after its end than the bound allows.
 func TestNoTableIsTrustedAfterItsBound(t *testing.T) {
 	trusted := 0
 	for seed := range uint64(500) {
--- a/estate/estate_test.go
+++ b/estate/estate_test.go
@@ -66,9 +66,6 @@
 	return 0
 }
 
-// In whatever order and however often changes arrive, from the store or from
-// peers, the table and the versions never go back, and all sides that have
-// seen the same changes agree.
 func TestNeverGoesBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var history []sandbarrow.KeyItem
@@ -122,10 +119,6 @@
 	assert.Equal(t, mark, sandbarrow.StoreRevision(8))
 }
 
-// The story of the failure: operators name a version of an adapter, and a process hears
-// of it before it has seen any table of routes. There is no state to put in force yet,
-// but the change counts as known, so that no later reading brings it again: once the
-// table is there, all requests ask for no version at all, for as long as the process runs.
 func TestVersionNamedBeforeTheFirstTable(t *testing.T) {
 	e := newEstate()
 	named := sandbarrow.KeyItem{Key: "a1", Revision: 1, Value: []byte("2")}
@@ -137,8 +130,6 @@
 	assert.Equal(t, e.View().Version(key), sandbarrow.AdapterVersion(2))
 }
 
-// The line of a configuration says who has brought it, and what the store has answered
-// counts as its answer, what a peer has sent does not.
 func TestWhoBroughtAConfiguration(t *testing.T) {
 	var lines strings.Builder
 	e := New(documents{}, slog.New(slog.NewTextHandler(&lines, nil)))
--- a/forward/exchange_test.go
+++ b/forward/exchange_test.go
@@ -212,8 +212,6 @@
 	}
 }
 
-// An upstream that answers before it has read a long body gets no other bytes
-// on that connection.
 func TestEarlyAnswerEndsConnection(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/gateway/choose_test.go
+++ b/gateway/choose_test.go
@@ -93,8 +93,6 @@
 	}
 }
 
-// Engines that load many adapters at once, each as fast as ever, are no reason to leave a
-// request behind the prompts of the only engine that holds its adapter.
 func TestLoadsThatAreNotSlowedAreNoContention(t *testing.T) {
 	statuses := []enginelink.Status{{Free: 5, Slots: loaded("a"), WaitingTokens: 25_000}}
 	for range 20 {
@@ -135,8 +133,6 @@
 	}
 }
 
-// An answer that would wait for a slot everywhere is late and full, so that a
-// first try is refused at once; one that waits for loads alone is not.
 func TestFullAndLate(t *testing.T) {
 	g := chooserOf(t, enginelink.Status{Free: 0}, enginelink.Status{Free: -1})
 	e := g.chooseEngine(callFor(g, "a", 2000), nil)
@@ -146,11 +142,6 @@
 	assert.Assert(t, e.late && !e.full)
 }
 
-// BenchmarkChooseEngine is the cost of a choice among the engines of a service.
-// BenchmarkChooseEngineForPrompt chooses for a prompt of five parts among engines of which
-// one in eight has loaded the adapter and nine have reported that they keep the prompt: 43 to
-// 47 µs where every engine's view was asked for the prompt, 30 to 35 where only those that
-// could keep it are.
 func BenchmarkChooseEngineForPrompt(b *testing.B) {
 	statuses := make([]enginelink.Status, 160)
 	for i := range statuses {
--- a/gateway/crashsync_test.go
+++ b/gateway/crashsync_test.go
@@ -49,8 +49,6 @@
 	return g
 }
 
-// What one gateway knows reaches the others through controllers, which keep it for those
-// that start when all gateways that knew it are gone and the store is down.
 func TestCrashesReachGatewaysThroughControllers(t *testing.T) {
 	f := newFleet(t, 3, 0)
 	f.configure(t, streamRoute(true))
@@ -76,8 +74,6 @@
 	assert.Assert(t, told, "by a controller")
 }
 
-// Without controllers they learn it from the store, also those that start later; what is
-// kept there is removed once it is forgotten.
 func TestCrashesReachGatewaysThroughTheStore(t *testing.T) {
 	kept := store.NewMemory()
 	lone := func(box string) *Gateway {
@@ -119,9 +115,6 @@
 	eventually(t, func() bool { return !known.crashes.Judge(fatalPrint, 100).Refused })
 }
 
-// A request under which upstreams have ended is refused at once, as not run, with when that
-// is forgotten; the same path with another body is served, and so is a request that was
-// answered since.
 func TestRefusesWhatEndsUpstreams(t *testing.T) {
 	f := newFleet(t, 0, 2)
 	f.configure(t, plainRoute(route.KindUnsafe))
--- a/gateway/enginesearch_test.go
+++ b/gateway/enginesearch_test.go
@@ -11,8 +11,6 @@
 	"sandbarrow.example/sandbarrow/enginelink"
 )
 
-// Engines that refuse a request at once, as crashed ones do, use up none of the waits
-// that it has; there is a bound to them all the same.
 func TestRefusalsAtOnceAreNoWaits(t *testing.T) {
 	s := engineSearch{excluded: map[sandbarrow.InstanceID]bool{}}
 	assert.Assert(t, s.first())
@@ -38,8 +36,6 @@
 	assert.Assert(t, !s.mayAsk())
 }
 
-// A request that was granted a version which is old by now asks anew for the one that was
-// named meanwhile, and its engine may be asked again.
 func TestOldGrantIsAskedAnew(t *testing.T) {
 	g := chooserOf(t, statusOf(oldWeights))
 	named := func(v string, at sandbarrow.StoreRevision) {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -155,9 +155,6 @@
 	assert.Equal(t, last, "7")
 }
 
-// A stream that breaks off is resumed by another engine within one answer,
-// without a piece lost or repeated; where it may not be resumed, the answer
-// breaks off and does not look whole.
 func TestBrokenStream(t *testing.T) {
 	for name, tc := range map[string]struct {
 		resumable bool
@@ -188,8 +185,6 @@
 	}
 }
 
-// An engine that fails a stream which may be resumed is replaced by another;
-// where none answers, the caller gets an engine's own failure.
 func TestFailingEngine(t *testing.T) {
 	for name, tc := range map[string]struct {
 		resumable, heal bool
@@ -265,8 +260,6 @@
 	assert.Equal(t, len(f.runners[0].runs()), before)
 }
 
-// A planned stop tells the balancer at once, serves what comes meanwhile and
-// ends kept connections by their answers.
 func TestPlannedStop(t *testing.T) {
 	f := newFleet(t, 0, 1)
 	f.configure(t, plainRoute(route.KindSafe))
--- a/gateway/loadmodel_test.go
+++ b/gateway/loadmodel_test.go
@@ -16,8 +16,6 @@
 	}
 }
 
-// Whatever a weight store carries, the model comes to know it from loads alone, and does
-// not take loads beneath that for contention.
 func TestLoadModelLearnsWhatTheStoreCarries(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		alone := time.Duration(rapid.IntRange(120, 600).Draw(t, "alone")) * time.Millisecond
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -44,8 +44,6 @@
 	})
 }
 
-// A gateway that starts while the store is down learns the configuration and
-// the upstreams from a peer that has them; peers that are gone do no harm.
 func TestStartInOutageLearnsFromPeers(t *testing.T) {
 	f := newFleet(t, 1, 1)
 	f.configure(t, plainRoute(route.KindSafe))
@@ -72,8 +70,6 @@
 	})
 }
 
-// However many peers ask for the list of upstreams, it is encoded once a revision; one
-// that has the newest gets no entries.
 func TestAskersShareOneAnswer(t *testing.T) {
 	const askers, upstreams, most = 1000, 160, 4 << 20
 	g := newLoneGateway()
@@ -108,8 +104,6 @@
 	assert.Equal(t, len(got.Items), upstreams-1)
 }
 
-// A gateway whose links all fall silent is itself cut off: it is not ready.
-// One that has lost a few controllers stays ready.
 func TestIsolation(t *testing.T) {
 	g := newLoneGateway()
 	g.estate.Update([]sandbarrow.KeyItem{{Key: "op/table", Revision: 1, Value: []byte("{}")}}, 1)
@@ -131,8 +125,6 @@
 	assert.Assert(t, g.Ready())
 }
 
-// The allowance for repeats is shared by all gateways that the controllers see,
-// and is small while none is seen.
 func TestRetryAllowanceIsShared(t *testing.T) {
 	g := newLoneGateway()
 	assert.Equal(t, g.retryBurst(), float64(unknownBurst))
--- a/gateway/promptmove_test.go
+++ b/gateway/promptmove_test.go
@@ -127,9 +127,6 @@
 	assert.Equal(t, c.leastVersion(), sandbarrow.AdapterVersion(0))
 }
 
-// A new connection to a controller begins with the engine's speed and the fencing token
-// that were reported on the last one, and with the count of its loads; what the engine
-// held and kept is not known until it is reported anew.
 func TestReconnect(t *testing.T) {
 	c, e := movingCall(t)
 	link := e.move.source.link
@@ -148,8 +145,6 @@
 	assert.DeepEqual(t, after.status, enginelink.Status{Loads: s.Loads, Speed: s.Speed, Token: s.Token})
 }
 
-// A version that operators have named, but no engine runs yet, is what a load brings: no
-// memory is of it.
 func TestNoMoveAcrossANamedVersion(t *testing.T) {
 	survey := &fleetSurvey{newest: 1, sources: sourcesOf([]candidate{keeper("b", 6000, oldWeights)}, moveNeed())}
 	n := moveNeed()
@@ -178,8 +173,6 @@
 	return c, e
 }
 
-// What was chosen by predictions is looked at once more with what was granted: memory
-// moves only where the weights that run are those that made it, and it is still there.
 func TestSettleMove(t *testing.T) {
 	for name, tc := range map[string]struct {
 		change func(c *call, e *candidate, source *controllerLink)
@@ -245,8 +238,6 @@
 	}
 }
 
-// An engine that starts again under its id has nothing in its own memory, also where it comes
-// up with its base model before its controller has reported it without one.
 func TestAnotherStartHasNothingToRecall(t *testing.T) {
 	l := &controllerLink{}
 	status := func(in sandbarrow.InstanceID, adapter sandbarrow.AdapterID) enginelink.Status {
--- a/gateway/staleprompt_test.go
+++ b/gateway/staleprompt_test.go
@@ -11,23 +11,6 @@
 	"sandbarrow.example/sandbarrow"
 )
 
-// What users saw: some answers, all of them complete and with status 200, were made from
-// prompt memory of other weights than those that the engine ran. No log line showed it.
-//
-// The order of events: the operators named a new version of the base model. Engines that
-// ran kept their weights. Engines that were added after that loaded the new ones. The
-// first requests at an added engine shared most of their prompt with requests that an
-// older engine had read, so a gateway let the added engine take that memory, which was
-// made under the old weights.
-//
-// The cause: what an engine keeps of a prompt was named by the base model, the adapter and
-// the adapter's version that the request had asked for. The version of the base model's
-// weights was no part of the name, and the adapter's version was not the one that ran.
-//
-// The evidence: in the record of the failure no version of an adapter is named, one of the
-// base model is, and only engines that loaded the base model after that broke the rule.
-// With engines of one version of both, memory moves and is sound; each of the other cases
-// below differs from that one in a single version.
 func TestPromptMemoryIsOfTheWeightsThatRun(t *testing.T) {
 	for name, tc := range map[string]struct {
 		keeper, taker testWeights
@@ -61,8 +44,6 @@
 	}
 }
 
-// The choice is made by the last reports. Weights that change between these and the grant
-// are seen at the grant, right before the request is sent.
 func TestPromptMemoryIsSettledByTheGrant(t *testing.T) {
 	for name, change := range map[string]func(*runner){
 		"the base model":       func(r *runner) { r.run(testWeights{model: 7}) },
--- a/gateway/suspension_test.go
+++ b/gateway/suspension_test.go
@@ -22,10 +22,7 @@
 	"sandbarrow.example/sandbarrow/wire"
 )
 
-// A machine may be suspended for seconds: its steady clock stands still meanwhile, while
-// what others hold runs on (a lease in the store, a caller's patience, the other end of a
-// link). An age that the steady clock counts is then too young, and guards nothing.
-func TestSuspension(t *testing.T) {
+func TestAgesCountASuspension(t *testing.T) {
 	t.Run("a configuration is not trusted for longer", func(t *testing.T) {
 		reader := &switchedReader{}
 		f := newFleetWith(t, 0, 1, func(c *Config) { c.RevokeBound, c.TableStore = 5*time.Second, reader })
--- a/gateway/unreportedpin_test.go
+++ b/gateway/unreportedpin_test.go
@@ -63,8 +63,6 @@
 	return q
 }
 
-// A controller learns of a pin that was taken between its connection and its first
-// status: it orders adapters away that nobody uses by what it knows.
 func TestPinBeforeTheFirstStatusIsReported(t *testing.T) {
 	l := &controllerLink{gateway: chooserOf(t)}
 	l.applyStatus(statusOf(oldWeights)) // of the last connection
@@ -74,8 +72,6 @@
 	c.expect(t, enginelink.MethodUsing)
 }
 
-// So it does of one that was taken while it was silent, where it goes on before the
-// gateway gives the connection up.
 func TestPinDuringASilenceIsReported(t *testing.T) {
 	l := &controllerLink{gateway: chooserOf(t)}
 	c := linkedTo(t, l)
--- a/gateway/upstreamend_test.go
+++ b/gateway/upstreamend_test.go
@@ -13,8 +13,6 @@
 	"sandbarrow.example/sandbarrow/route"
 )
 
-// An attempt that breaks counts only where its upstream has ended: nothing listens there, or
-// another start answers, or is listed. A connection that broke says nothing.
 func TestEndOfAnUpstream(t *testing.T) {
 	f := newFleet(t, 0, 3)
 	f.configure(t, plainRoute(route.KindSafe))
--- a/gateway/upstreamheader_test.go
+++ b/gateway/upstreamheader_test.go
@@ -33,8 +33,6 @@
 	}
 }
 
-// What callers set in the gateway's name reaches no upstream: neither on routes of
-// plain services nor of engines, nor at the engine that continues a broken stream.
 func TestReservedHeadersOfCallersAreDropped(t *testing.T) {
 	forged := map[string]string{
 		"t-copy-from": "10.0.0.1:1/h", "T-HOLD": "h1", "T-Instance-Wanted": "other", "T-Priority": "forged", "T-Version-Wanted": "77", "X-Other": "kept",
--- a/gateway/workspace_test.go
+++ b/gateway/workspace_test.go
@@ -37,8 +37,6 @@
 	return r
 }
 
-// Upstreams see the workspace of the caller's key, whatever the caller says, and never the
-// key itself.
 func TestWorkspaceOfTheKey(t *testing.T) {
 	f := newFleet(t, 1, 1)
 	f.workspaces = redAndBlue()
@@ -97,9 +95,7 @@
 	assert.Equal(t, f.send(t.Context(), http.MethodPost, "/p/x", withKey("red-key-2")).status, http.StatusOK)
 }
 
-// A request that waited is looked at once more before it is sent: its key may have been
-// withdrawn, or passed on to another workspace.
-func TestForbidden(t *testing.T) {
+func TestKeyWithdrawnWhileTheRequestWaited(t *testing.T) {
 	f := newFleet(t, 0, 1)
 	f.workspaces = redAndBlue()
 	f.configure(t, plainRoute(route.KindSafe))
@@ -118,9 +114,7 @@
 	assert.Equal(t, c.forbidden(), reasonUnknownKey)
 }
 
-// What is over a workspace's limit is refused with when to come back; other workspaces are
-// served as if it were not there.
-func TestLimit(t *testing.T) {
+func TestWorkspaceOverItsLimitIsRefused(t *testing.T) {
 	f := newFleet(t, 2, 1)
 	f.workspaces = redAndBlue()
 	f.workspaces[0].Workspace.Limit = access.Limit{Burst: 4, PerSecond: 4, Unit: access.UnitRequests}
@@ -157,9 +151,7 @@
 	})
 }
 
-// When the leader of a part is lost, the other part serves requests meanwhile, and another
-// process leads the lost one then.
-func TestLeaderIsLost(t *testing.T) {
+func TestOtherPartServesWhileALeaderIsLost(t *testing.T) {
 	f := newFleet(t, 3, 1)
 	f.workspaces = redAndBlue()
 	f.workspaces[0].Workspace.Limit = access.Limit{Burst: 1000, PerSecond: 1000, Unit: access.UnitRequests}
@@ -193,9 +185,7 @@
 	return u.store.Get(ctx, key)
 }
 
-// Where nobody can tell for too long that the configuration is the newest one, callers
-// with keys are refused, and public routes go on.
-func TestStaleConfiguration(t *testing.T) {
+func TestStaleConfigurationRefusesCallersWithKeys(t *testing.T) {
 	u := &unreachable{}
 	f := newFleetWith(t, 0, 1, func(c *Config) {
 		u.store, _ = c.Store.(interface {
--- a/internal/await/await_test.go
+++ b/internal/await/await_test.go
@@ -17,8 +17,6 @@
 	return clock{now: func() time.Time { return s.at }, sleep: func(d time.Duration) { s.at = s.at.Add(d + s.overshoot) }}
 }
 
-// A process that is kept from running for a minute at each look still gets all of its
-// looks.
 func TestStarvedTimeDoesNotCount(t *testing.T) {
 	s := simulated{overshoot: time.Minute}
 	looks := 0
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -8,8 +8,6 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestDemo runs the whole system in this process, so that the race detector
-// sees all of it.
 func TestDemo(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
 	defer cancel()
--- a/internal/splitmix/splitmix_test.go
+++ b/internal/splitmix/splitmix_test.go
@@ -6,8 +6,6 @@
 	"gotest.tools/v3/assert"
 )
 
-// The first outputs of SplitMix64 with seed 0, which are the finalizer of multiples
-// of its increment.
 func TestFinalize(t *testing.T) {
 	const increment = 0x9e3779b97f4a7c15
 	x := uint64(0)
--- a/internal/systest/abuse_test.go
+++ b/internal/systest/abuse_test.go
@@ -29,8 +29,6 @@
 	return resp.Body
 }
 
-// TestVanishingCaller leaves in the middle of a long answer: the engine must
-// not go on for nobody, and nobody else may notice.
 func TestVanishingCaller(t *testing.T) {
 	t.Parallel()
 	s := startSystem(t, defaultShape())
--- a/internal/systest/bounds_test.go
+++ b/internal/systest/bounds_test.go
@@ -12,9 +12,7 @@
 	"sandbarrow.example/sandbarrow/standin"
 )
 
-// TestBounds measures how long things take after a change or a fault, and
-// holds them to what is promised.
-func TestBounds(t *testing.T) {
+func TestChangesAndFaultsKeepTheirBounds(t *testing.T) {
 	t.Run("leave", func(t *testing.T) {
 		s := startSystem(t, defaultShape())
 		stop := s.drive(20*time.Millisecond, streamOf)
--- a/internal/systest/fatal_test.go
+++ b/internal/systest/fatal_test.go
@@ -18,10 +18,6 @@
 	fatalMost = 6
 )
 
-// TestFatalRequest shows what callers and engines saw: one request ended each engine that began
-// to run it. Its caller repeated it under another id at another entry, each try was judged by
-// itself and retried at further engines, and what ran there was cut with it: of 12 tries
-// most began at two engines, 21 in all. Nobody remembered under which request an engine had ended.
 func TestFatalRequest(t *testing.T) {
 	t.Parallel()
 	sh := defaultShape()
--- a/internal/systest/limit_test.go
+++ b/internal/systest/limit_test.go
@@ -31,9 +31,6 @@
 	limitPause = 40 * time.Millisecond
 )
 
-// TestUpstreamLimit shows the entry path's part of what users saw: an upstream in need that
-// names a limit in its answers got as many requests as before. Nobody read the limit: each agent
-// is the only way to its upstream, and passed on whatever entries sent it.
 func TestUpstreamLimit(t *testing.T) {
 	for name, one := range map[string]call{
 		"service": {service: true},
--- a/internal/systest/repeat_test.go
+++ b/internal/systest/repeat_test.go
@@ -8,9 +8,6 @@
 	"sandbarrow.example/sandbarrow"
 )
 
-// TestRepeatKeepsItsLabel shows what callers got: a once-only request ran on v1 and its
-// answer was kept; v2 was rolled out; the caller repeated the request under its key. It
-// got the answer that v1 had made, rightly, but labelled with v2 and the new revision.
 func TestRepeatKeepsItsLabel(t *testing.T) {
 	t.Parallel()
 	s := startSystem(t, defaultShape())
--- a/internal/systest/slope_test.go
+++ b/internal/systest/slope_test.go
@@ -45,8 +45,6 @@
 	return n, err
 }
 
-// BenchmarkConnectionSlope reports what idle entries cost an agent: memory,
-// processor time and bytes, at three numbers of them.
 func BenchmarkConnectionSlope(b *testing.B) {
 	for _, n := range []int{50, 200, 400} {
 		b.Run(fmt.Sprintf("entries=%d", n), func(b *testing.B) {
--- a/internal/systest/speed_test.go
+++ b/internal/systest/speed_test.go
@@ -84,8 +84,6 @@
 	return 0
 }
 
-// BenchmarkSpeed measures what entry and agent add to a call of the engine
-// stand-in, all as processes of their own, in one run.
 func BenchmarkSpeed(b *testing.B) {
 	sh := defaultShape()
 	sh.engines, sh.maxRunning, sh.slots, sh.step = 1, 256, 8, 0
--- a/internal/systest/stops_test.go
+++ b/internal/systest/stops_test.go
@@ -127,8 +127,6 @@
 	}
 }
 
-// TestFaultMatrixUnload drives more adapters than slots, with callers that
-// leave in the middle, agents that are replaced and an engine that restarts.
 func TestFaultMatrixUnload(t *testing.T) {
 	for name, disturb := range map[string]func(s *system, m *member){
 		"nothing":        func(*system, *member) {},
@@ -176,9 +174,6 @@
 	}
 }
 
-// TestFrozenAgent freezes the agent that a request goes to for longer than its
-// caller can wait: the request is answered by another upstream, and a
-// once-only one runs there alone.
 func TestFrozenAgent(t *testing.T) {
 	for _, once := range []string{"", "key"} {
 		t.Run("once="+once, func(t *testing.T) {
@@ -198,8 +193,6 @@
 	}
 }
 
-// TestFrozenService freezes the only agent of a plain service. The caller is
-// told at once that its call did not run, and it never runs.
 func TestFrozenService(t *testing.T) {
 	t.Parallel()
 	s := startSystem(t, defaultShape())
@@ -220,8 +213,6 @@
 	s.checker.verify("v1")
 }
 
-// TestEngineRestart restarts the only engine: the agent must see that what it
-// had loaded is gone.
 func TestEngineRestart(t *testing.T) {
 	t.Parallel()
 	sh := defaultShape()
@@ -234,8 +225,6 @@
 	s.checker.verify("v1")
 }
 
-// TestOnceWithoutStore checks that a once-only request is refused at once, as
-// not run and with when to come back, while the store is down or hangs.
 func TestOnceWithoutStore(t *testing.T) {
 	for name, f := range map[string]standin.Faults{"down": {Down: true}, "hangs": {DelayMS: 6_000}} {
 		t.Run(name, func(t *testing.T) {
@@ -253,9 +242,6 @@
 	}
 }
 
-// TestOverload sends five times what the engines can bear. What can't be
-// answered whole in time must be refused without being run: a run that is cut
-// at its deadline is wasted and leaves its caller with an unknown outcome.
 func TestOverload(t *testing.T) {
 	t.Parallel()
 	s := startSystem(t, defaultShape())
@@ -276,9 +262,6 @@
 	assert.Assert(t, seen[sandbarrow.OutcomeWhole] > 200 && seen[sandbarrow.OutcomeNotRun] > 200, "%v", seen)
 }
 
-// TestOrdersInOutage lets the lease lapse in an outage of the store. An engine
-// that checks fencing tokens takes orders on; one that does not keeps what it
-// has, and what it has is served.
 func TestOrdersInOutage(t *testing.T) {
 	for _, checks := range []bool{true, false} {
 		t.Run(fmt.Sprintf("checks-token-%t", checks), func(t *testing.T) {
@@ -312,8 +295,6 @@
 	}
 }
 
-// TestLostLoadReply loses the reply of a load that took effect: the engine's
-// only slot holds an adapter that the agent has not seen loaded.
 func TestLostLoadReply(t *testing.T) {
 	t.Parallel()
 	sh := defaultShape()
--- a/internal/systest/wholepath_test.go
+++ b/internal/systest/wholepath_test.go
@@ -12,8 +12,6 @@
 	"sandbarrow.example/sandbarrow/workload"
 )
 
-// TestWholePath drives both users' workloads through two entries and three
-// agents, all and the stand-ins too as processes of their own.
 func TestWholePath(t *testing.T) {
 	t.Parallel()
 	sh := defaultShape()
--- a/lease/holder_test.go
+++ b/lease/holder_test.go
@@ -18,8 +18,6 @@
 
 func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
 
-// TestOneHolder lets time pass, calls fail and processes pause, and checks that
-// never two holders believe to hold the lease and that tokens only grow.
 func TestOneHolder(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		now := time.Unix(1000, 0)
@@ -74,8 +72,6 @@
 	assert.Assert(t, h.Check().Token > held.Token)
 }
 
-// A process that starts again on its box takes its predecessor's lease over at once; one on
-// another box does not.
 func TestOwnerTakesOver(t *testing.T) {
 	now := time.Unix(1000, 0)
 	clock := func() time.Time { return now }
--- a/lease/suspension_test.go
+++ b/lease/suspension_test.go
@@ -9,13 +9,7 @@
 	"sandbarrow.example/sandbarrow/store"
 )
 
-// A machine may be suspended for seconds: its steady clock stands still meanwhile, while
-// what others hold runs on (a lease in the store, a caller's patience, the other end of a
-// link). An age that the steady clock counts is then too young, and guards nothing.
-//
-// A lease that ran out in the store while its holder was suspended is not held any more, by
-// the clock alone.
-func TestSuspension(t *testing.T) {
+func TestLeaseEndsAcrossASuspension(t *testing.T) {
 	s := store.NewMemory(store.WithMemoryClock(boottime.Now))
 	first, second := NewHolder(s, "k", ttl, quiet()), NewHolder(s, "k", ttl, quiet())
 	assert.NilError(t, first.Step(t.Context()))
--- a/prefixwatch/prefixwatch_test.go
+++ b/prefixwatch/prefixwatch_test.go
@@ -128,8 +128,6 @@
 	assert.Equal(t, v.get("q/a"), "")
 }
 
-// A process that shares the prefix with many others waits longer for changes, and so
-// calls the store less often, but sees a change at once all the same.
 func TestManyProcessesCallLess(t *testing.T) {
 	calls := func(processes int) int {
 		f := &faulty{Memory: store.NewMemory()}
@@ -185,8 +183,6 @@
 	assert.Equal(t, v.replaced, 1)
 }
 
-// After the store has forgotten its history, all is read anew: a key that left
-// in the gap is gone.
 func TestCompaction(t *testing.T) {
 	f, v := start(t, 0)
 	f.fail(sandbarrow.ErrStoreCompacted)
@@ -249,8 +245,6 @@
 	eventually(t, func() bool { return v.get("p/a") == "1" })
 }
 
-// While others tell of changes in time no call is made; when they fall silent
-// the watch goes on from where they told up to.
 func TestSharedWatch(t *testing.T) {
 	f := &faulty{Memory: store.NewMemory()}
 	put(t, f, "p/a", "1")
--- a/prefixwatch/sharedpace_test.go
+++ b/prefixwatch/sharedpace_test.go
@@ -7,9 +7,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// However many processes draw their waits, all together make a few calls a second, and of
-// many that began together some end soon.
-func TestDrawnWaits(t *testing.T) {
+func TestDrawnWaitsEndAtDifferentTimes(t *testing.T) {
 	const draws = 20_000
 	for processes, least := range map[int]time.Duration{10: 130, 13: 150, 40: 200, 100: 110} {
 		sum, soon := time.Duration(0), 0
@@ -27,13 +25,6 @@
 	}
 }
 
-// A few processes keep their own times, and up to ten hear each change in time by
-// themselves, also where a watch was lost; a hundred make not much more calls together than
-// ten, and never wait without bound.
-//
-// The waits were longer before, of 3 s and more, and ten processes were bound to make no
-// more than a call each 300 ms together: that left all of them deaf for too long
-// (TestSilentWatchIsGivenUpInTime). TestDrawnWaits holds the calls that there are now.
 func TestSharedPaces(t *testing.T) {
 	const wait = DefaultWait
 	callsEach := func(processes int) time.Duration {
--- a/prefixwatch/silent_test.go
+++ b/prefixwatch/silent_test.go
@@ -143,8 +143,6 @@
 	}
 }
 
-// Of many processes, each of which watches longer, one hears a change soon, though all began
-// their watches with the same change and lost them at the same moment.
 func TestOneOfManyHearsSoon(t *testing.T) {
 	const processes = 60
 	s := &silentStore{Memory: store.NewMemory()}
--- a/promptcache/promptcache_test.go
+++ b/promptcache/promptcache_test.go
@@ -51,8 +51,6 @@
 	assert.Equal(t, len(keys), 6, "a key names the versions of the adapter and of the base model")
 }
 
-// What an engine keeps is kept for the weights that made it, and for no other ones. What
-// was made with weights of a version that is not known is not kept at all.
 func TestMemoryIsOfOneVersion(t *testing.T) {
 	var m Memory
 	var mirror Mirror
@@ -112,8 +110,6 @@
 	assert.Equal(t, m.used, 0)
 }
 
-// A mirror that reads the changes now and then says of shared parts what the memory
-// says, and the memory keeps no more than fits.
 func TestMirrorFollowsMemory(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
--- a/quota/leader/leader_test.go
+++ b/quota/leader/leader_test.go
@@ -130,9 +130,7 @@
 	assert.Assert(t, l.Take(&enginelink.Take{Shard: shards[0], Units: 1, Workspace: "red"}).NotLeading, "it has given the lease back")
 }
 
-// A process that starts again on its box leads at once what its predecessor led when it was
-// killed, though nobody nominates it.
-func TestReclaim(t *testing.T) {
+func TestRestartedLeaderLeadsAtOnce(t *testing.T) {
 	s := store.NewMemory()
 	killed, stop := start(t, s, "box-1")
 	killed.nominateUntil(t, 5, func() bool { return killed.leads(5) })
--- a/quota/leader/suspension_test.go
+++ b/quota/leader/suspension_test.go
@@ -13,12 +13,7 @@
 	"sandbarrow.example/sandbarrow/store"
 )
 
-// A machine may be suspended for seconds: its steady clock stands still meanwhile, while
-// what others hold runs on (a lease in the store, a caller's patience, the other end of a
-// link). An age that the steady clock counts is then too young, and guards nothing.
-//
-// A leader whose lease ran out while it was suspended grants nothing.
-func TestSuspension(t *testing.T) {
+func TestLeaderGrantsNothingAfterASuspension(t *testing.T) {
 	s := store.NewMemory(store.WithMemoryClock(boottime.Now))
 	l, stop := start(t, s, "a")
 	defer stop()
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -14,9 +14,7 @@
 
 func at(ms int) time.Time { return time.Unix(0, 0).Add(time.Duration(ms) * time.Millisecond) }
 
-// A limit is granted at the operators' own rate where the bound leaves room, and less
-// where it does not.
-func TestPlanFor(t *testing.T) {
+func TestPlanLeavesTheBoundItsRoom(t *testing.T) {
 	usual := PlanFor(testBound, &access.Limit{Burst: 100_000, PerSecond: 100_000})
 	assert.Equal(t, usual.Rate*Parts, 100_000.0)
 	assert.Equal(t, usual.Life, usualLife)
--- a/readspeed/readspeed_test.go
+++ b/readspeed/readspeed_test.go
@@ -35,10 +35,7 @@
 	assert.Equal(t, e.Speed(), own, "what was observed here goes before")
 }
 
-// The estimate comes near any engine's speed, whatever the lengths of its prompts, and
-// though one answer in ten stalls. The mean of the last hundred estimates is judged:
-// right after two stalls in a row a single one is off.
-func TestConverges(t *testing.T) {
+func TestEstimateConvergesForAnyEngine(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		perToken := time.Duration(rapid.IntRange(5_000, 300_000).Draw(t, "ns per token"))
 		base := time.Duration(rapid.IntRange(5, 100).Draw(t, "base")) * time.Millisecond
@@ -78,8 +75,6 @@
 	})
 }
 
-// An engine that becomes five times as slow is known for it after some twenty answers,
-// and forgiven as soon.
 func TestFollowsASlowEngine(t *testing.T) {
 	var e Estimator
 	normal := Speed{Base: 15 * time.Millisecond, PerToken: 26 * time.Microsecond}
--- a/recall/memory_test.go
+++ b/recall/memory_test.go
@@ -22,8 +22,6 @@
 	return maps.All(map[sandbarrow.AdapterKey]sandbarrow.AdapterVersion{keyOf(n): v})
 }
 
-// An older version in the engine's own memory does not bring a newer one: it comes from
-// the weight store, and is priced as that.
 func TestMemoryIsOfAVersion(t *testing.T) {
 	var m Memory
 	m.Note(seenAt(1, 1))
@@ -34,8 +32,6 @@
 	assert.Assert(t, m.Has(keyOf(1), 2))
 }
 
-// Loads show how many adapters an engine's own memory keeps, be it less or more than is
-// assumed.
 func TestMemoryLearnsItsSize(t *testing.T) {
 	for _, kept := range []int{12, 54} {
 		var engine []int // the newest last
--- a/schedule/overload_test.go
+++ b/schedule/overload_test.go
@@ -14,9 +14,6 @@
 	return workload.Options{Duration: duration, Seed: 1, Skew: 1.1, WakeShare: 0.06}
 }
 
-// TestOverload checks, under three times the traffic that the weight store
-// bears, that no class is starved, that urgent ones are refused least, and that
-// refusals do not wait for the deadline.
 func TestOverload(t *testing.T) {
 	for _, e := range []workload.Estate{workload.Address(), workload.Registre()} {
 		e.RequestsPerSecond *= 3
--- a/schedule/restart_test.go
+++ b/schedule/restart_test.go
@@ -47,8 +47,6 @@
 	}
 }
 
-// TestOrderKeepsItsPlace checks that an order that is under way across a restart still
-// holds its place: it may yet reach the new start.
 func TestOrderKeepsItsPlace(t *testing.T) {
 	e, _ := restarting(t)
 	e.submit(2, 0, time.Minute)
--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -93,8 +93,6 @@
 	assert.Assert(e.t, len(e.s.slots) <= e.s.options.Slots, "more adapters than slots")
 }
 
-// TestAllTicketsEnd checks that whatever comes, each request starts or is given
-// up long before its deadline once nothing new comes, and no slot is lost.
 func TestAllTicketsEnd(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		e := newEngine(rt, rapid.IntRange(1, 3).Draw(rt, "slots"), rapid.IntRange(1, 4).Draw(rt, "running"))
@@ -129,8 +127,6 @@
 	assert.Assert(t, cold.Started.Sub(cold.Arrived) < 3*time.Second)
 }
 
-// TestFinishAfterReset restarts the engine between the start and the end of a
-// run: the end of the old run must not free the adapter of a new one.
 func TestFinishAfterReset(t *testing.T) {
 	e := newEngine(t, 1, 4)
 	e.runTime = time.Hour
@@ -147,8 +143,6 @@
 	assert.Equal(t, len(e.running), 1)
 }
 
-// TestNothingIsDrainedInVain lets a cold group wait while no adapter may be
-// evicted, as in an outage: the busy adapter must be served on.
 func TestNothingIsDrainedInVain(t *testing.T) {
 	e := newEngine(t, 1, 4)
 	e.runTime = 100 * time.Millisecond
@@ -171,8 +165,6 @@
 	assert.Equal(t, cold.State, TicketWaiting)
 }
 
-// TestDrainedSlotReturns revokes the request for which a busy adapter was
-// drained: what waits for that adapter must start all the same.
 func TestDrainedSlotReturns(t *testing.T) {
 	e := newEngine(t, 1, 1)
 	e.runTime = 4 * time.Second
--- a/throttle/keeper_test.go
+++ b/throttle/keeper_test.go
@@ -85,7 +85,7 @@
 }
 
 // Processes that reach no other one grant a part each.
-func TestParts(t *testing.T) {
+func TestKeepersAloneGrantAPartEach(t *testing.T) {
 	now := time.Now()
 	keepers := make([]Keeper, 8)
 	granted := 0
@@ -135,9 +135,6 @@
 	}
 }
 
-// However some processes lose one of the two keepers, or a keeper what it knew, an upstream gets in
-// any 4 s no more than one and a half times what it takes and five requests, and no less than
-// seven tenths of it over the whole time.
 func TestTwoKeepersHoldTheLimit(t *testing.T) {
 	for seed := range uint64(200) {
 		r := rand.New(rand.NewPCG(seed, 1))
--- a/throttle/table_test.go
+++ b/throttle/table_test.go
@@ -28,8 +28,6 @@
 	assert.Assert(t, !says, "a failure that names none")
 }
 
-// The newest word of an upstream counts, whatever order the answers come in: one without a
-// limit ends it only if its request was sent after the limit was named.
 func TestNewestWordCounts(t *testing.T) {
 	now := time.Now()
 	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
--- a/wire/notification_test.go
+++ b/wire/notification_test.go
@@ -33,8 +33,6 @@
 	N int `json:"n"`
 }
 
-// A notification that is encoded once is the message that the RPC library writes, whoever
-// reads it.
 func TestNotificationIsTheLibrarysMessage(t *testing.T) {
 	params := json.RawMessage(`{"n":7}`)
 	r := &jsonrpc2.Request{Method: "engine.status", Notif: true, Params: &params}
@@ -43,8 +41,6 @@
 	assert.Equal(t, string(NewNotification("engine.status", params)), string(want))
 }
 
-// Notifications that are served directly arrive in order among the others, which the RPC
-// library gets, also where they come in another order of fields.
 func TestServeDirectly(t *testing.T) {
 	a, b := pairOf(t)
 	got := make(chan int, 10)
@@ -74,8 +70,6 @@
 	}
 }
 
-// What can't be served directly goes to the library whole, and a cut message ends the
-// reading.
 func TestRefusedDirectNotification(t *testing.T) {
 	a, b := pairOf(t)
 	b.ServeDirectly("direct", func(params []byte) error { return json.Unmarshal(params, new(numbered)) })
@@ -93,8 +87,6 @@
 	assert.Assert(t, errors.Is(b.ReadObject(&got), ErrMalformed))
 }
 
-// BenchmarkNotification is what a reader of small notifications pays, directly and
-// through the RPC library.
 func BenchmarkNotification(b *testing.B) {
 	params := json.RawMessage(`{"f":2,"g":103,"i":"i-7f3a91c2","r":9,"k":true,"t":4711,"w":5123,"wp":[1000,4123]}`)
 	message := NewNotification("engine.status", params)
