--- a/gateway/crashsync.go
+++ b/gateway/crashsync.go
@@ -12,8 +12,10 @@
 
 	"sandbarrow.example/sandbarrow/crash"
 	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/forward"
 	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/internal/pause"
+	"sandbarrow.example/sandbarrow/internal/rendezvous"
 	"sandbarrow.example/sandbarrow/wire"
 )
 
@@ -75,7 +77,7 @@
 func (s *crashSync) relays(now time.Time) []*controllerLink {
 	up := s.gateway.engines.upLinks(now)
 	slices.SortFunc(up, func(a, b *controllerLink) int {
-		return cmp.Compare(rankFor("crashes", b.address), rankFor("crashes", a.address))
+		return cmp.Compare(rendezvous.Rank("crashes", b.address), rendezvous.Rank("crashes", a.address))
 	})
 	return up[:min(len(up), crashRelays)]
 }
@@ -124,7 +126,7 @@
 func (g *Gateway) exchangeCrashes(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	rpc, err := dialPeer(ctx, address)
+	rpc, err := enginelink.DialPeer(ctx, address, forward.DialTimeout)
 	if err != nil {
 		return err
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -184,7 +184,7 @@
 	group.Go(func() error { return g.engines.run(work) })
 	group.Go(func() error { return g.learnFromPeers(work) })
 	group.Go(func() error { return g.leads.run(work) })
-	group.Go(func() error { return g.permits.run(work) })
+	group.Go(func() error { return g.permits.keepers.Run(work) })
 	group.Go(func() error { return g.confirmLoop(work) })
 	group.Go(func() error {
 		defer end()
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -6,7 +6,6 @@
 	"net"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"sandbarrow.example/sandbarrow/enginelink"
@@ -124,23 +123,11 @@
 	}
 }
 
-// dialPeer opens a connection to a peer, for questions alone.
-func dialPeer(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
-	dialer := net.Dialer{Timeout: forward.DialTimeout, KeepAlive: -1}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	return jsonrpc2.NewConn(ctx, wire.NewStream(conn), wire.Handler(func(_ context.Context, r *jsonrpc2.Request) (any, error) {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
-	})), nil
-}
-
 // askPeer applies what one peer knows, and reports whether that was new.
 func (g *Gateway) askPeer(ctx context.Context, address string) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	rpc, err := dialPeer(ctx, address)
+	rpc, err := enginelink.DialPeer(ctx, address, forward.DialTimeout)
 	if err != nil {
 		return false, err
 	}
--- a/gateway/quotaleads.go
+++ b/gateway/quotaleads.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"hash/fnv"
 	"slices"
 	"strconv"
 	"sync"
@@ -14,6 +13,7 @@
 	"sandbarrow.example/sandbarrow/enginelink"
 	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/internal/pause"
+	"sandbarrow.example/sandbarrow/internal/rendezvous"
 	"sandbarrow.example/sandbarrow/quota"
 )
 
@@ -194,14 +194,7 @@
 
 // rank orders the controllers that may lead a shard (rendezvous hashing).
 func rank(s quota.Shard, l *controllerLink) uint64 {
-	return rankFor(strconv.Itoa(int(s)), l.address)
-}
-
-// rankFor orders addresses for a purpose: all gateways prefer the same ones.
-func rankFor(purpose, address string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(purpose + " " + address)) // never fails
-	return h.Sum64()
+	return rendezvous.Rank(strconv.Itoa(int(s)), l.address)
 }
 
 // count is how many controllers there are, linked or not.
--- a/gateway/sendpermits.go
+++ b/gateway/sendpermits.go
@@ -6,37 +6,35 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/internal/pause"
+	"sandbarrow.example/sandbarrow/sendkeepers"
 	"sandbarrow.example/sandbarrow/throttle"
 )
 
-// This file holds this gateway to the limits that upstreams name in their answers: each send
-// to such an upstream is asked for at a process that all gateways ask (sendkeepers.go). A limit
-// is for all of them together, and often far below one request a second for each, so that no
-// gateway can keep to it by itself.
-
-// aloneParts is into how many parts a limit is split among gateways that reach neither a
-// controller nor a peer.
-const aloneParts = 8
-
 // sendPermits asks for sends to upstreams that name a limit. It is safe for concurrent use.
 type sendPermits struct {
 	gateway *Gateway
-	// alone grants this gateway's part of the limits while it reaches no other process; kept
-	// grants sends to all peers where this gateway is asked.
-	alone, kept *enginelink.SendKeeper
-	keepers     *sendKeepers
+	keepers *sendkeepers.Keepers
+	// kept grants sends to all peers where this gateway is asked.
+	kept *enginelink.SendKeeper
 }
 
 func newSendPermits(g *Gateway) *sendPermits {
-	p := &sendPermits{alone: enginelink.NewSendKeeper(aloneParts), gateway: g, kept: enginelink.NewSendKeeper(1)}
-	p.keepers = newSendKeepers(p)
+	p := &sendPermits{gateway: g, kept: enginelink.NewSendKeeper(1)}
+	p.keepers = sendkeepers.New(sendkeepers.Config{
+		Controllers: p.controllers, Logger: g.logger, Own: p.kept, PeerAddress: g.config.PeerAddress, Peers: g.config.Peers,
+	})
 	return p
 }
 
-// run closes connections to peers that are not needed any more, all when ctx ends.
-func (p *sendPermits) run(ctx context.Context) error {
-	return p.keepers.run(ctx)
+// controllers are the controllers whose links are up.
+func (p *sendPermits) controllers() []sendkeepers.Keeper {
+	var list []sendkeepers.Keeper
+	for _, l := range p.gateway.engines.upLinks(boottime.Now()) {
+		list = append(list, l)
+	}
+	return list
 }
 
 // sendPermit is the right to send one request to an upstream.
@@ -49,7 +47,7 @@
 // unused gives the permit back, since the request was not sent.
 func (p *sendPermit) unused() {
 	if p.permits != nil {
-		p.permits.keepers.report(nil, enginelink.Sent{Record: p.record, Sends: -1})
+		p.permits.keepers.Report(enginelink.Sent{Record: p.record, Sends: -1})
 	}
 }
 
@@ -63,7 +61,7 @@
 	case !need:
 		return &sendPermit{}, true
 	}
-	grant := p.keepers.ask(ctx, enginelink.Send{Record: record, WithinMS: within.Milliseconds()})
+	grant := p.keepers.Ask(ctx, enginelink.Send{Record: record, WithinMS: within.Milliseconds()})
 	p.gateway.upstreams.endAsk(in.ID, &grant, within)
 	outcome := "refused"
 	if grant.Granted {
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -114,7 +114,7 @@
 	u.mu.Unlock()
 	if changed {
 		u.logLimit(record)
-		u.gateway.permits.keepers.report(nil, enginelink.Sent{Record: record})
+		u.gateway.permits.keepers.Report(enginelink.Sent{Record: record})
 	}
 }
 
--- a/gateway/peerlink.go
+++ b/sendkeepers/peer.go
@@ -1,4 +1,4 @@
-package gateway
+package sendkeepers
 
 import (
 	"context"
@@ -12,15 +12,12 @@
 	"sandbarrow.example/sandbarrow/internal/boottime"
 )
 
-// errNoConnection means that a process is not linked now.
-const errNoConnection = errors.ConstError("gateway: no connection")
-
 // peerIdleTimeout is how long a connection to a peer is kept without use.
 const peerIdleTimeout = 10 * time.Second
 
-// peerLink is a connection to a peer that is opened when it is needed and kept while it is
+// peer is a peer, and a connection to it that is opened when it is needed and kept while it is
 // used. It is safe for concurrent use.
-type peerLink struct {
+type peer struct {
 	address string
 
 	mu   sync.Mutex
@@ -28,12 +25,12 @@
 	used time.Time
 }
 
-// name is the peer's address.
-func (p *peerLink) name() string { return p.address }
+// Name is the peer's address.
+func (p *peer) Name() string { return p.address }
 
-// send asks the peer for one send. A connection over which no answer came is closed.
-func (p *peerLink) send(ctx context.Context, q enginelink.Send) (grant enginelink.SendGrant, err error) {
-	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+// Send asks the peer for one send. A connection over which no answer came is closed.
+func (p *peer) Send(ctx context.Context, q enginelink.Send) (grant enginelink.SendGrant, err error) {
+	ctx, cancel := context.WithTimeout(ctx, SendTimeout)
 	defer cancel()
 	rpc, err := p.connect(ctx)
 	if err != nil {
@@ -45,9 +42,9 @@
 	return grant, errors.Trace(err)
 }
 
-// sent reports to the peer what another process granted.
-func (p *peerLink) sent(s enginelink.Sent) {
-	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+// Sent reports to the peer what another process granted.
+func (p *peer) Sent(s enginelink.Sent) {
+	ctx, cancel := context.WithTimeout(context.Background(), SendTimeout)
 	defer cancel()
 	rpc, err := p.connect(ctx)
 	if err != nil {
@@ -59,7 +56,7 @@
 }
 
 // connect returns the connection, and opens one where there is none that the peer keeps too.
-func (p *peerLink) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
+func (p *peer) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.used = boottime.Now()
@@ -70,7 +67,7 @@
 			return p.rpc, nil
 		}
 	}
-	rpc, err := dialPeer(ctx, p.address)
+	rpc, err := enginelink.DialPeer(ctx, p.address, SendTimeout)
 	if err != nil {
 		return nil, err
 	}
@@ -79,7 +76,7 @@
 }
 
 // drop closes a connection.
-func (p *peerLink) drop(rpc *jsonrpc2.Conn) {
+func (p *peer) drop(rpc *jsonrpc2.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_ = rpc.Close()
@@ -89,7 +86,7 @@
 }
 
 // close closes the connection, if there is one.
-func (p *peerLink) close() {
+func (p *peer) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.rpc != nil {
@@ -99,7 +96,7 @@
 }
 
 // closeIdle closes a connection that was not used for peerIdleTimeout.
-func (p *peerLink) closeIdle(now time.Time) {
+func (p *peer) closeIdle(now time.Time) {
 	p.mu.Lock()
 	idle := now.Sub(p.used) >= peerIdleTimeout
 	p.mu.Unlock()
