End a wait for an adapter once its engine accepts no requests

The answer of an instance that names itself as another one announces nothing, also where its status is not 421.

--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -117,6 +117,9 @@
 	cutAfter int
 	// hang keeps requests without an answer.
 	hang bool
+	// announced is what it says of itself in each answer, as says names the instance that answers.
+	announced sandbarrow.AnnouncementTexts
+	says      string
 	// refuse answers that requests did not run, status is the answer of others.
 	refuse bool
 	status int
@@ -157,6 +160,10 @@
 	misdirected := q.Header.Get(testNames.ExpectInstance) != string(r.id) ||
 		adapter != "" && (!held || wanted != "" && wanted != strconv.FormatUint(uint64(version), 10))
 	refuse, hang, status, cut := r.refuse, r.hang, r.status, r.cutAfter
+	platform.Announcements{}.Write(w.Header(), r.announced)
+	if r.says != "" {
+		w.Header().Set(testNames.Instance, r.says)
+	}
 	if !misdirected && !refuse {
 		r.ran = append(r.ran, id)
 		r.usePrompt(q.Header, testWeights{adapter: version, model: r.modelVersion})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -131,7 +131,7 @@
 	g.ends = newUpstreamEnds(g)
 	g.leads = newQuotaLeads(g)
 	g.permits = newSendPermits(g)
-	g.upstreams = &upstreams{gateway: g}
+	g.upstreams = &upstreams{gateway: g, waiting: map[sandbarrow.InstanceID]map[*call]func(){}}
 	c.Metrics.MustRegister(
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "sandbarrow_gateway_entries_refused_total", Help: "Entries in the list of upstreams that named none.",
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -166,6 +166,9 @@
 		e.link.addTokens(c.priority(), -unread)
 		c.acquired += time.Since(began)
 	}()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer c.gateway.upstreams.await(e.instance.ID, c, cancel)()
 	g, ok := e.link.acquire(ctx, ask)
 	if !ok {
 		g.Refused = refuseNoAnswer
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -24,6 +24,34 @@
 
 	mu    sync.Mutex
 	table availability.Table
+	// waiting are the calls that wait at an upstream before they send it anything.
+	waiting map[sandbarrow.InstanceID]map[*call]func()
+}
+
+// await calls stop once an upstream announces that it accepts no requests, so that the call need
+// not wait there in vain. It returns what ends that.
+func (u *upstreams) await(id sandbarrow.InstanceID, c *call, stop func()) (end func()) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.waiting[id] == nil {
+		u.waiting[id] = map[*call]func(){}
+	}
+	u.waiting[id][c] = stop
+	return func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		delete(u.waiting[id], c)
+		if len(u.waiting[id]) == 0 {
+			delete(u.waiting, id)
+		}
+	}
+}
+
+// stopWaiting ends the waits at an upstream. The caller holds mu.
+func (u *upstreams) stopWaiting(id sandbarrow.InstanceID) {
+	for _, stop := range u.waiting[id] {
+		stop()
+	}
 }
 
 // look decides whether a request may be sent to an upstream now, and else when.
@@ -68,8 +96,12 @@
 	u.table.End(boottime.Now(), id, failed)
 }
 
-// observe reads what an upstream announces in its answer to a request sent at a time.
+// observe reads what an upstream announces in its answer to a request sent at a time. The answer of
+// another instance says nothing.
 func (u *upstreams) observe(in *sandbarrow.Instance, sent time.Time, a *forward.Answer) {
+	if name := a.Header.Get(u.gateway.config.Headers.Instance); name != "" && sandbarrow.ListedID(name) != in.ID.Listed() {
+		return
+	}
 	announced, err := u.gateway.config.Announcements.Read(a.Status, a.Header)
 	if err != nil {
 		u.gateway.logger.Warn("announcement of an upstream not read", "upstream", string(in.ID), "error", err.Error())
@@ -78,6 +110,9 @@
 	}
 	u.mu.Lock()
 	change := u.table.Notices.Apply(boottime.Now(), in.ID, a.Status, announced)
+	if change.Backoff || change.Draining {
+		u.stopWaiting(in.ID)
+	}
 	u.mu.Unlock()
 	if change.Draining {
 		u.gateway.logger.Info("upstream announces that it drains", "upstream", string(in.ID), "address", in.Address, "listed_draining", in.Draining)
