--- a/gateway/call.go
+++ b/gateway/call.go
@@ -23,9 +23,9 @@
 	writer  http.ResponseWriter
 	callerRequest
 	attempts
-	// judged is what was known of upstreams that ended under the request, when that was
+	// crashVerdict is what was known of upstreams that ended under the request, when that was
 	// asked last.
-	judged crash.Verdict
+	crashVerdict crash.Verdict
 	// blocked is what was seen of upstreams that accept no request now.
 	blocked blockedUpstreams
 	quota   quotaAsk
--- a/gateway/endsupstreams.go
+++ b/gateway/endsupstreams.go
@@ -33,8 +33,8 @@
 	if c.gateway.crashes.Empty() {
 		return false
 	}
-	c.judged = c.gateway.crashes.Judge(c.fingerprint(), len(c.gateway.directory.View().All()))
-	return c.judged.Refused
+	c.crashVerdict = c.gateway.crashes.Judge(c.fingerprint(), len(c.gateway.directory.View().All()))
+	return c.crashVerdict.Refused
 }
 
 // admitContent refuses a request under which upstreams have ended, before anything is done
@@ -43,13 +43,13 @@
 	if !c.endsUpstreams() {
 		return true
 	}
-	c.refuseFor(http.StatusServiceUnavailable, reasonEndsUpstreams, jitter(max(retryAfter, c.judged.ForgottenIn)))
+	c.refuseFor(http.StatusServiceUnavailable, reasonEndsUpstreams, jitter(max(retryAfter, c.crashVerdict.ForgottenIn)))
 	return false
 }
 
-// barred returns why the request must not be sent to any upstream now, whatever was known
+// refusalBeforeSend returns why the request must not be sent to any upstream now, whatever was known
 // when it came; "" where it may.
-func (c *call) barred() reason {
+func (c *call) refusalBeforeSend() reason {
 	if why := c.forbidden(); why != "" {
 		return why
 	}
@@ -62,10 +62,10 @@
 // holdSuspect waits a moment where upstreams have ended under the request one after the
 // other, before an upstream is chosen for it.
 func (c *call) holdSuspect(ctx context.Context) {
-	if c.endsUpstreams() || c.judged.Ends < suspectFrom {
+	if c.endsUpstreams() || c.crashVerdict.Ends < suspectFrom {
 		return
 	}
-	wait := min(suspectWait<<(c.judged.Ends-suspectFrom), c.left()/suspectWaitParts)
+	wait := min(suspectWait<<(c.crashVerdict.Ends-suspectFrom), c.left()/suspectWaitParts)
 	pause.For(ctx, rand.N(max(1, wait)))
 }
 
@@ -88,11 +88,11 @@
 // crashAttributes describe what is known of upstreams that ended under the request; none
 // where nothing is.
 func (c *call) crashAttributes() []slog.Attr {
-	if c.judged.Ends == 0 {
+	if c.crashVerdict.Ends == 0 {
 		return nil
 	}
 	return []slog.Attr{
-		slog.String("fingerprint", c.fingerprint().String()), slog.Int("upstreams_ended", c.judged.Ends), slog.Int("ends_needed", c.judged.Needed),
-		slog.Int64("forgotten_s", int64(c.judged.ForgottenIn/time.Second)),
+		slog.String("fingerprint", c.fingerprint().String()), slog.Int("upstreams_ended", c.crashVerdict.Ends), slog.Int("ends_needed", c.crashVerdict.Needed),
+		slog.Int64("forgotten_s", int64(c.crashVerdict.ForgottenIn/time.Second)),
 	}
 }
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -89,7 +89,7 @@
 
 // mayAttempt returns why the request may not be sent to one more engine; "" where it may.
 func (c *call) mayAttempt() reason {
-	if why := c.barred(); why != "" {
+	if why := c.refusalBeforeSend(); why != "" {
 		return why
 	}
 	if !c.maySend() {
--- a/gateway/serveplain.go
+++ b/gateway/serveplain.go
@@ -40,9 +40,9 @@
 		if !granted {
 			continue
 		}
-		if barred := c.barred(); barred != "" {
+		if refusal := c.refusalBeforeSend(); refusal != "" {
 			permit.unused()
-			why = barred
+			why = refusal
 			break
 		}
 		if !c.maySend() {
@@ -62,7 +62,7 @@
 			continue
 		case c.notRun(got.answer):
 			if got.answer.Status == http.StatusMisdirectedRequest {
-				c.gateway.ends.misdirected(in)
+				c.gateway.ends.noteMisdirected(in)
 			}
 			why = reasonRefused
 			continue
--- a/gateway/upstreamend.go
+++ b/gateway/upstreamend.go
@@ -16,23 +16,23 @@
 )
 
 const (
-	// endWindow is how long after a broken attempt its upstream is watched for signs that it has
+	// probeWindow is how long after a broken attempt its upstream is watched for signs that it has
 	// ended: one that crashes is back within some seconds, and the list shows that after a
 	// heartbeat more.
-	endWindow = 10 * time.Second
-	// endPause is the pause between two looks: short against the time that an upstream takes to be
+	probeWindow = 10 * time.Second
+	// probePause is the pause between two probes: short against the time that an upstream takes to be
 	// back.
-	endPause = 100 * time.Millisecond
+	probePause = 100 * time.Millisecond
 	// aliveWindow is the same where something still listened when the attempt broke: an upstream
 	// that is back at once is listed within that time, and one that ends later has not ended under
 	// the attempt: a heartbeat and the pace of the list.
 	aliveWindow = 2 * time.Second
-	// endWait is how long a retry waits for the dial: a round trip to any box, where something or
+	// probeTimeout is how long a retry waits for the dial: a round trip to any box, where something or
 	// nothing listens there. A box that is silent says nothing.
-	endWait = 60 * time.Millisecond
-	// mostEndLooks bounds the upstreams that wait to be looked at; of more that break at one
+	probeTimeout = 60 * time.Millisecond
+	// maxPendingProbes bounds the upstreams that wait to be looked at; of more that break at one
 	// moment, some are passed over.
-	mostEndLooks = 256
+	maxPendingProbes = 256
 	// provenRun: an attempt that has passed events for so long did not end its upstream by
 	// beginning there, which clears its request as an answer does. Ends come some 0.1 s after the beginning.
 	provenRun = 500 * time.Millisecond
@@ -45,8 +45,8 @@
 	request sandbarrow.RequestID
 }
 
-// endLook is one look whether an upstream has ended.
-type endLook struct {
+// endProbe is one watch whether an upstream has ended.
+type endProbe struct {
 	instance *sandbarrow.Instance
 	// dialled is closed once the upstream's address has been dialled.
 	dialled chan struct{}
@@ -60,14 +60,14 @@
 // it ran. It is safe for concurrent use.
 type upstreamEnds struct {
 	gateway *Gateway
-	due     chan *endLook
+	due     chan *endProbe
 
-	mu    sync.Mutex
-	looks map[sandbarrow.InstanceID]*endLook
+	mu     sync.Mutex
+	probes map[sandbarrow.InstanceID]*endProbe
 }
 
 func newUpstreamEnds(g *Gateway) *upstreamEnds {
-	return &upstreamEnds{due: make(chan *endLook, mostEndLooks), gateway: g, looks: map[sandbarrow.InstanceID]*endLook{}}
+	return &upstreamEnds{due: make(chan *endProbe, maxPendingProbes), gateway: g, probes: map[sandbarrow.InstanceID]*endProbe{}}
 }
 
 // broke notes an attempt that broke at an upstream, and returns a channel that closes once
@@ -75,14 +75,14 @@
 func (u *upstreamEnds) broke(in *sandbarrow.Instance, b brokenAttempt) <-chan struct{} {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	l := u.looks[in.ID]
+	l := u.probes[in.ID]
 	if l == nil {
-		l = &endLook{dialled: make(chan struct{}), instance: in}
+		l = &endProbe{dialled: make(chan struct{}), instance: in}
 		select {
 		case u.due <- l:
-			u.looks[in.ID] = l
+			u.probes[in.ID] = l
 		default:
-			u.gateway.logger.Warn("end of an upstream not looked at", "upstream", string(in.ID), "waiting", mostEndLooks)
+			u.gateway.logger.Warn("end of an upstream not looked at", "upstream", string(in.ID), "waiting", maxPendingProbes)
 			close(l.dialled)
 			return l.dialled
 		}
@@ -94,11 +94,11 @@
 	return l.dialled
 }
 
-// misdirected notes that an upstream's address answers for another instance, where the
+// noteMisdirected notes that an upstream's address answers for another instance, where the
 // upstream is being looked at: one that is back at once never refuses a connection.
-func (u *upstreamEnds) misdirected(in *sandbarrow.Instance) {
+func (u *upstreamEnds) noteMisdirected(in *sandbarrow.Instance) {
 	u.mu.Lock()
-	l := u.looks[in.ID]
+	l := u.probes[in.ID]
 	u.mu.Unlock()
 	if l != nil {
 		u.conclude(l, availability.EndMisdirected)
@@ -110,17 +110,17 @@
 	for {
 		select {
 		case l := <-u.due:
-			go u.look(ctx, l) // ends with ctx, or with endWindow
+			go u.probe(ctx, l) // ends with ctx, or with probeWindow
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
-// look watches one upstream until there is evidence of its end, or endWindow has passed.
-func (u *upstreamEnds) look(ctx context.Context, l *endLook) {
+// probe watches one upstream until there is evidence of its end, or probeWindow has passed.
+func (u *upstreamEnds) probe(ctx context.Context, l *endProbe) {
 	began := time.Now()
-	until := began.Add(endWindow)
+	until := began.Add(probeWindow)
 	var evidence availability.EndEvidence
 	switch listening.Dial(ctx, l.instance.Address, forward.DialTimeout) {
 	case listening.Listens:
@@ -138,22 +138,22 @@
 		if listed := u.gateway.directory.View().At(l.instance.Address); evidence != "" && (listed == nil || listed.ID != l.instance.ID) {
 			break // nothing is sent to it any more
 		}
-		pause.For(ctx, endPause)
+		pause.For(ctx, probePause)
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	delete(u.looks, l.instance.ID)
+	delete(u.probes, l.instance.ID)
 }
 
 // evidenceOf is the evidence that a look has found so far.
-func (u *upstreamEnds) evidenceOf(l *endLook) availability.EndEvidence {
+func (u *upstreamEnds) evidenceOf(l *endProbe) availability.EndEvidence {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return l.evidence
 }
 
 // conclude notes evidence, if there is any, against the attempts that broke so far.
-func (u *upstreamEnds) conclude(l *endLook, evidence availability.EndEvidence) {
+func (u *upstreamEnds) conclude(l *endProbe, evidence availability.EndEvidence) {
 	if evidence == "" {
 		return
 	}
@@ -168,7 +168,7 @@
 }
 
 // ended notes that attempts broke since their upstream ended.
-func (u *upstreamEnds) ended(l *endLook, broken ...brokenAttempt) {
+func (u *upstreamEnds) ended(l *endProbe, broken ...brokenAttempt) {
 	prints := make([]crash.Fingerprint, len(broken))
 	for i, b := range broken {
 		prints[i] = b.print
@@ -177,7 +177,7 @@
 	u.gateway.crashes.Note(l.instance.ID, broken[0].at, prints...)
 }
 
-func (u *upstreamEnds) logEnded(l *endLook, b brokenAttempt) {
+func (u *upstreamEnds) logEnded(l *endProbe, b brokenAttempt) {
 	u.gateway.logger.LogAttrs(context.Background(), slog.LevelWarn, "upstream ended",
 		slog.String("upstream", string(l.instance.ID)), slog.String("evidence", string(l.evidence)), slog.String("request", string(b.request)),
 		slog.String("fingerprint", b.print.String()), slog.Int64("broken_ms", boottime.Since(b.at).Milliseconds()))
@@ -192,7 +192,7 @@
 
 // noteBroken notes that the upstream may have ended under the attempt, unless this gateway
 // or the caller ended the attempt, or the upstream drains and ends as planned. It waits
-// until that is known, for endWait at most, so that it counts before the request is sent
+// until that is known, for probeTimeout at most, so that it counts before the request is sent
 // again.
 func (c *call) noteBroken(ctx context.Context, in *sandbarrow.Instance) {
 	if ctx.Err() != nil || c.request.Context().Err() != nil {
@@ -204,7 +204,7 @@
 	dialled := c.gateway.ends.broke(in, brokenAttempt{at: boottime.Now(), print: c.fingerprint(), request: sandbarrow.RequestID(c.id)})
 	select {
 	case <-dialled:
-	case <-time.After(endWait):
+	case <-time.After(probeTimeout):
 	case <-ctx.Done():
 	}
 }
