Count only requests that have left as sent to upstreams that accept none, and find ends by id

sandbarrow_gateway_blocked_sends_total and the attributes of a request counted a send before it was known whether it leaves: one that was withheld counted too. One function, call.send, gives a request to an upstream and counts what has left, for plain upstreams and engines.

Notices looked through all of them for the start before an unknown one, for each upstream at each choice once any had ended; it finds that by the listed id now.

--- a/availability/notices.go
+++ b/availability/notices.go
@@ -60,8 +60,8 @@
 // that has started again has announced nothing. The zero Notices is empty.
 type Notices struct {
 	byStart map[sandbarrow.InstanceID]*notice
-	// ended counts the starts that have ended.
-	ended    int
+	// ended has the starts that have ended.
+	ended    map[sandbarrow.ListedID]sandbarrow.InstanceID
 	forgotAt time.Time
 }
 
@@ -99,10 +99,11 @@
 		return
 	}
 	e := n.entry(id)
-	if !e.ended {
-		n.ended++
-	}
 	e.ended, e.used = true, now
+	if n.ended == nil {
+		n.ended = map[sandbarrow.ListedID]sandbarrow.InstanceID{}
+	}
+	n.ended[id.Listed()] = id
 }
 
 // Look returns what an upstream has announced.
@@ -164,18 +165,17 @@
 // find returns the notice of a start, or nil. A start of which nothing is known yet has announced
 // what was announced after the end of the one before it.
 func (n *Notices) find(id sandbarrow.InstanceID) *notice {
-	if e := n.byStart[id]; e != nil || n.ended == 0 {
+	if e := n.byStart[id]; e != nil || len(n.ended) == 0 {
 		return e
 	}
-	for before, e := range n.byStart {
-		if e.ended && before.Listed() == id.Listed() {
-			n.drop(before)
-			next := &notice{word: e.next}
-			n.byStart[id] = next
-			return next
-		}
+	before, ended := n.ended[id.Listed()]
+	if !ended {
+		return nil
 	}
-	return nil
+	next := &notice{word: n.byStart[before].next}
+	n.drop(before)
+	n.byStart[id] = next
+	return next
 }
 
 // entry returns the notice of a start, a new one where there is none.
@@ -196,8 +196,8 @@
 
 // drop drops the notice of a start.
 func (n *Notices) drop(id sandbarrow.InstanceID) {
-	if e := n.byStart[id]; e != nil && e.ended {
-		n.ended--
+	if n.ended[id.Listed()] == id {
+		delete(n.ended, id.Listed())
 	}
 	delete(n.byStart, id)
 }
--- a/availability/notices_test.go
+++ b/availability/notices_test.go
@@ -82,7 +82,7 @@
 		assert.Equal(t, n.Look(now, restart), want, "the list does not show its next start yet")
 		assert.Equal(t, n.Look(now, "v@3"), Notice{}, "another upstream")
 		assert.Equal(t, n.Look(now, "u@3"), want)
-		assert.Assert(t, len(n.byStart) == 1 && n.ended == 0)
+		assert.Assert(t, len(n.byStart) == 1 && len(n.ended) == 0)
 	}
 }
 
@@ -100,7 +100,7 @@
 	for i := range maxNotices + 10 {
 		n.Ended(now, sandbarrow.NewInstanceID(sandbarrow.ListedID(fmt.Sprint(i)), 1))
 	}
-	assert.Assert(t, len(n.byStart) == maxNotices && n.ended == maxNotices)
+	assert.Assert(t, len(n.byStart) == maxNotices && len(n.ended) == maxNotices)
 	n.Apply(now.Add(keepFor+time.Second), upstream, http.StatusOK, sandbarrow.Announcement{})
-	assert.Assert(t, len(n.byStart) == 0 && n.ended == 0)
+	assert.Assert(t, len(n.byStart) == 0 && len(n.ended) == 0)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,7 +12,7 @@
 // The rules, each in a file of its own: choose.go and enginecost.go (which engine),
 // serveplain.go (which plain upstream), earlyrefusal.go (who is refused at once),
 // retryrule.go and retrybudget.go (what is sent again, and when it is given up),
-// endsupstreams.go (what is sent to no upstream any more), blocked.go (which upstreams
+// endsupstreams.go (what is sent to no upstream any more), callsend.go (which upstreams
 // accept a request now, by package availability), progress.go (which stream is stalled), priority.go (what an engine reads first),
 // engines.go (when this gateway is cut off), stop.go (a planned stop). docs/DECISIONS.md lists them by question.
 package gateway
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -252,15 +252,11 @@
 
 // runEngine makes the exchange of one attempt.
 func (c *call) runEngine(ctx context.Context, e *candidate, version sandbarrow.AdapterVersion, p *progress) verdict {
-	sent := c.sentNow(e.instance)
-	a, err := c.gateway.pool(e.instance).Send(ctx, c.upstreamRequest(e.instance, version))
-	if errors.Is(err, forward.ErrNotSent) {
-		c.gateway.upstreams.noteUnsent(e.instance, err)
+	a, sent, err := c.send(ctx, e.instance, version)
+	switch {
+	case errors.Is(err, forward.ErrNotSent):
 		return c.end(ctx, verdictNotSent, err)
-	}
-	c.sent++
-	c.last = e.instance.ID
-	if err != nil {
+	case err != nil:
 		return c.end(ctx, verdictBroken, err)
 	}
 	defer a.Close()
--- a/gateway/serveplain.go
+++ b/gateway/serveplain.go
@@ -113,14 +113,8 @@
 
 // exchange makes the exchange of one attempt.
 func (c *call) exchange(ctx context.Context, in *sandbarrow.Instance) (*wholeAnswer, error) {
-	sent := c.sentNow(in)
-	a, err := c.gateway.pool(in).Send(ctx, c.upstreamRequest(in, 0))
-	if !errors.Is(err, forward.ErrNotSent) {
-		c.sent++
-		c.last = in.ID
-	}
+	a, sent, err := c.send(ctx, in, 0)
 	if err != nil {
-		c.gateway.upstreams.noteUnsent(in, err)
 		return nil, err
 	}
 	defer a.Close()
