--- a/estate/estate.go
+++ b/estate/estate.go
@@ -6,6 +6,7 @@
 package estate
 
 import (
+	"bytes"
 	"log/slog"
 	"maps"
 	"slices"
@@ -159,9 +160,15 @@
 func (e *Estate) merge(from source, items []sandbarrow.KeyItem, at sandbarrow.StoreRevision) {
 	changed := false
 	for _, it := range items {
-		if it.Gone || it.Revision <= e.items[it.Key].Revision {
+		if it.Gone {
 			continue // a removed key keeps its last meaning: nothing goes back
 		}
+		if known := e.items[it.Key]; it.Revision <= known.Revision {
+			if !bytes.Equal(it.Value, known.Value) {
+				e.logger.Info("older operators' key ignored", "key", it.Key, "revision", uint64(it.Revision), "known", uint64(known.Revision), "from", string(from))
+			}
+			continue
+		}
 		e.items[it.Key] = it
 		changed = true
 	}
--- a/ids.go
+++ b/ids.go
@@ -53,9 +53,6 @@
 // ServiceID names a plain service.
 type ServiceID string
 
-// StoreRevision is the store's revision of one key; 0 means absent.
-type StoreRevision uint64
-
 // UpstreamID names an upstream, a back end behind one agent.
 type UpstreamID string
 
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -14,6 +14,8 @@
 type Faults struct {
 	// Backoff refuses each run and announces the text as when to come back; "" refuses none.
 	Backoff string `json:"backoff"`
+	// Copy keeps a copy of the state for Restore (key-value service).
+	Copy bool `json:"copy"`
 	// DelayMS holds each call back by milliseconds.
 	DelayMS int `json:"delay_ms"`
 	// Down cuts each call before it has any effect.
@@ -32,6 +34,9 @@
 	LoseReplies int `json:"lose_replies"`
 	// Restart empties the engine and cuts what runs, at once.
 	Restart bool `json:"restart"`
+	// Restore returns to the copy that was kept last, at first the empty state, and begins the next
+	// era (key-value service).
+	Restore bool `json:"restore"`
 	// Truncate cuts as many answers in the middle (engine).
 	Truncate int `json:"truncate"`
 	// WrongModel answers as many runs under another model's name (engine).
--- a/standin/kv.go
+++ b/standin/kv.go
@@ -31,7 +31,9 @@
 	handler       http.Handler
 	readLimit     *rate.Limiter
 	store         *store.Memory
-	writeLimit    *rate.Limiter
+	// copied is the state to which the fault Restore returns.
+	copied     store.MemoryCopy
+	writeLimit *rate.Limiter
 }
 
 // NewKV returns an empty KV.
@@ -42,14 +44,23 @@
 	mux.HandleFunc("PUT /kv/{key...}", k.write(k.servePut))
 	mux.HandleFunc("POST /leases", k.write(k.serveGrant))
 	mux.HandleFunc("PUT /leases/{id}", k.write(func(w http.ResponseWriter, r *http.Request) {
-		writeStatus(w, k.store.RenewLease(r.Context(), sandbarrow.LeaseID(r.PathValue("id"))))
+		k.writeStatus(w, k.store.RenewLease(r.Context(), sandbarrow.LeaseID(r.PathValue("id"))))
 	}))
 	mux.HandleFunc("DELETE /leases/{id}", k.write(func(w http.ResponseWriter, r *http.Request) {
-		writeStatus(w, k.store.RevokeLease(r.Context(), sandbarrow.LeaseID(r.PathValue("id"))))
+		k.writeStatus(w, k.store.RevokeLease(r.Context(), sandbarrow.LeaseID(r.PathValue("id"))))
 	}))
 	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, map[string]int64{"reads": k.Reads.Load(), "writes": k.Writes.Load()})
 	})
+	k.copied = k.store.Copy()
+	k.onSet = func(f Faults) {
+		if f.Restore {
+			k.store.Restore(k.copied)
+		}
+		if f.Copy {
+			k.copied = k.store.Copy()
+		}
+	}
 	k.handler = k.wrap(mux)
 	return k
 }
@@ -62,7 +73,9 @@
 }
 
 // ServeHTTP serves the key-value protocol.
-func (k *KV) ServeHTTP(w http.ResponseWriter, r *http.Request) { k.handler.ServeHTTP(w, r) }
+func (k *KV) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	k.handler.ServeHTTP(w, r)
+}
 
 // write counts a write and holds it to the rate.
 func (k *KV) write(next http.HandlerFunc) http.HandlerFunc {
@@ -86,9 +99,9 @@
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	ctx, cancel := context.WithTimeout(r.Context(), min(time.Duration(wait)*time.Millisecond, watchLimit))
 	defer cancel()
-	item, err := k.store.Watch(ctx, r.PathValue("key"), sandbarrow.StoreRevision(after))
+	item, err := k.store.Watch(ctx, r.PathValue("key"), k.revision(after))
 	if err != nil {
-		writeStatus(w, err)
+		k.writeStatus(w, err)
 		return
 	}
 	writeRevision(w, item.Revision)
@@ -107,9 +120,9 @@
 		return
 	}
 	lease := sandbarrow.LeaseID(r.URL.Query().Get("lease"))
-	revision, err := k.store.CompareAndSwap(r.Context(), r.PathValue("key"), sandbarrow.StoreRevision(previous), value, lease)
+	revision, err := k.store.CompareAndSwap(r.Context(), r.PathValue("key"), k.revision(previous), value, lease)
 	if err != nil {
-		writeStatus(w, err)
+		k.writeStatus(w, err)
 		return
 	}
 	writeRevision(w, revision)
@@ -123,17 +136,30 @@
 	}
 	id, err := k.store.GrantLease(r.Context(), time.Duration(ttl)*time.Millisecond)
 	if err != nil {
-		writeStatus(w, err)
+		k.writeStatus(w, err)
 		return
 	}
+	k.writeEra(w)
 	writeJSON(w, http.StatusOK, map[string]sandbarrow.LeaseID{"id": id})
 }
 
+// revision is the revision that a caller names by its number.
+func (k *KV) revision(number uint64) sandbarrow.StoreRevision {
+	return sandbarrow.NewStoreRevision(k.store.Era(), number)
+}
+
+// writeEra names the era in an answer without a revision.
+func (k *KV) writeEra(w http.ResponseWriter) {
+	w.Header().Set(store.HeaderEra, strconv.FormatUint(uint64(k.store.Era()), 10))
+}
+
 func writeRevision(w http.ResponseWriter, r sandbarrow.StoreRevision) {
-	w.Header().Set("Revision", strconv.FormatUint(uint64(r), 10))
+	w.Header().Set(store.HeaderEra, strconv.FormatUint(uint64(r.Era()), 10))
+	w.Header().Set("Revision", strconv.FormatUint(r.Number(), 10))
 }
 
-func writeStatus(w http.ResponseWriter, err error) {
+func (k *KV) writeStatus(w http.ResponseWriter, err error) {
+	k.writeEra(w)
 	status := http.StatusOK
 	switch {
 	case errors.Is(err, sandbarrow.ErrStoreConflict):
--- a/store/httpstore.go
+++ b/store/httpstore.go
@@ -33,6 +33,9 @@
 // and its claims under way.
 const idleConnections = 16
 
+// HeaderEra names the store's era in each answer.
+const HeaderEra = "Store-Era"
+
 // HTTP is the platform's key-value service over HTTP. It uses net/http, since
 // a context must end a call in flight.
 type HTTP struct {
--- a/store/memoryprefix.go
+++ b/store/memoryprefix.go
@@ -16,19 +16,19 @@
 	defer m.mu.Unlock()
 	m.expire()
 	for key, revision := range t.Expected {
-		if m.items[key].item.Revision != revision {
+		if m.at(m.items[key].revision) != revision {
 			return 0, sandbarrow.ErrStoreConflict
 		}
 	}
 	m.bump()
 	for key, value := range t.Put {
-		m.items[key] = memoryItem{item: sandbarrow.Item{Revision: m.revision, Value: value}}
+		m.items[key] = memoryItem{revision: m.revision, value: value}
 		delete(m.gone, key)
 	}
 	for _, key := range t.Remove {
 		m.remove(key)
 	}
-	return m.revision, nil
+	return m.at(m.revision), nil
 }
 
 // Range reads all keys under a prefix.
@@ -39,11 +39,11 @@
 	var items []sandbarrow.KeyItem
 	for key, it := range m.items {
 		if strings.HasPrefix(key, prefix) {
-			items = append(items, sandbarrow.KeyItem{Key: key, Revision: it.item.Revision, Value: it.item.Value})
+			items = append(items, sandbarrow.KeyItem{Key: key, Revision: m.at(it.revision), Value: it.value})
 		}
 	}
 	slices.SortFunc(items, func(a, b sandbarrow.KeyItem) int { return cmp.Compare(a.Key, b.Key) })
-	return items, m.revision, nil
+	return items, m.at(m.revision), nil
 }
 
 // WatchPrefix waits until a key under a prefix changes past after.
@@ -70,17 +70,17 @@
 	m.expire()
 	var items []sandbarrow.KeyItem
 	for key, it := range m.items {
-		if it.item.Revision > after && strings.HasPrefix(key, prefix) {
-			items = append(items, sandbarrow.KeyItem{Key: key, Revision: it.item.Revision, Value: it.item.Value})
+		if m.at(it.revision) > after && strings.HasPrefix(key, prefix) {
+			items = append(items, sandbarrow.KeyItem{Key: key, Revision: m.at(it.revision), Value: it.value})
 		}
 	}
-	for key, revision := range m.gone {
-		if revision > after && strings.HasPrefix(key, prefix) {
-			items = append(items, sandbarrow.KeyItem{Key: key, Gone: true, Revision: revision})
+	for key, number := range m.gone {
+		if m.at(number) > after && strings.HasPrefix(key, prefix) {
+			items = append(items, sandbarrow.KeyItem{Key: key, Gone: true, Revision: m.at(number)})
 		}
 	}
 	slices.SortFunc(items, func(a, b sandbarrow.KeyItem) int { return cmp.Compare(a.Revision, b.Revision) })
-	return items, m.revision, m.changed
+	return items, m.at(m.revision), m.changed
 }
 
 // remove drops a key and remembers that it is gone. The caller holds mu.
--- a/store/memorystore.go
+++ b/store/memorystore.go
@@ -14,17 +14,20 @@
 type Memory struct {
 	mu        sync.Mutex
 	changed   chan struct{}
-	gone      map[string]sandbarrow.StoreRevision
+	era       sandbarrow.StoreEra
+	gone      map[string]uint64
 	items     map[string]memoryItem
 	leases    map[sandbarrow.LeaseID]*memoryLease
 	nextLease int
 	now       func() time.Time
-	revision  sandbarrow.StoreRevision
+	// revision is the number of the last change within the era.
+	revision uint64
 }
 
 type memoryItem struct {
-	item  sandbarrow.Item
-	lease sandbarrow.LeaseID
+	lease    sandbarrow.LeaseID
+	revision uint64
+	value    []byte
 }
 
 type memoryLease struct {
@@ -44,7 +47,7 @@
 func NewMemory(options ...MemoryOption) *Memory {
 	m := &Memory{
 		changed: make(chan struct{}),
-		gone:    map[string]sandbarrow.StoreRevision{},
+		gone:    map[string]uint64{},
 		items:   map[string]memoryItem{},
 		leases:  map[sandbarrow.LeaseID]*memoryLease{},
 		now:     time.Now,
@@ -63,13 +66,13 @@
 	if lease != "" && m.leases[lease] == nil {
 		return 0, sandbarrow.ErrStoreLeaseLost
 	}
-	if m.items[key].item.Revision != previous {
+	if m.at(m.items[key].revision) != previous {
 		return 0, sandbarrow.ErrStoreConflict
 	}
 	m.bump()
-	m.items[key] = memoryItem{item: sandbarrow.Item{Revision: m.revision, Value: value}, lease: lease}
+	m.items[key] = memoryItem{lease: lease, revision: m.revision, value: value}
 	delete(m.gone, key)
-	return m.revision, nil
+	return m.at(m.revision), nil
 }
 
 // Get reads a key.
@@ -160,5 +163,10 @@
 	defer m.mu.Unlock()
 	m.expire()
 	it, ok := m.items[key]
-	return it.item, ok, m.changed
+	return sandbarrow.Item{Revision: m.at(it.revision), Value: it.value}, ok, m.changed
+}
+
+// at is a revision of the current era. The caller holds mu.
+func (m *Memory) at(number uint64) sandbarrow.StoreRevision {
+	return sandbarrow.NewStoreRevision(m.era, number)
 }
