--- a/controller/gatewaylink.go
+++ b/controller/gatewaylink.go
@@ -173,7 +173,7 @@
 		if err := wire.Decode(r, &q); err != nil {
 			return nil, err
 		}
-		lead.Nominate(q.Shard)
+		lead.Nominate(q)
 		return nil, nil
 	case r.Method == enginelink.MethodTake:
 		var q enginelink.Take
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -3,7 +3,8 @@
 // stays. It relies on sandbarrow.InstanceList to read entries, and on package
 // prefixwatch or a peer to bring them; gateways use it. All methods of Directory are
 // safe for concurrent use. merge.go decides what of that news is newer than what is known;
-// lapse.go decides what it means that upstreams are missing.
+// lapse.go decides what it means that upstreams are missing, storereturn.go which entries apply after the
+// store was restored from an older copy.
 package directory
 
 import (
@@ -45,6 +46,7 @@
 	entries map[sandbarrow.ListedID]listed
 	// refused counts the entries that named no upstream.
 	refused uint64
+	restore restoreState
 }
 
 // New returns an empty directory.
@@ -54,6 +56,7 @@
 		lapsed:  map[sandbarrow.ListedID]sandbarrow.StoreRevision{},
 		list:    list,
 		logger:  logger,
+		restore: newRestoreState(),
 	}
 }
 
@@ -134,7 +137,7 @@
 	}
 	if !known || old.instance.Draining != instance.Draining {
 		d.logger.Info("upstream listed", "upstream", string(instance.ID), "address", instance.Address,
-			"service", string(instance.Service), "leaving", instance.Draining, "revision", uint64(it.Revision))
+			"service", string(instance.Service), "leaving", instance.Draining, "revision", it.Revision)
 	}
 	_, returned := d.lapsed[id]
 	delete(d.lapsed, id)
--- a/directory/lapse.go
+++ b/directory/lapse.go
@@ -47,18 +47,23 @@
 	for id, at := range left {
 		d.logger.Info("upstream no longer listed", "upstream", string(id), "address", d.entries[id].instance.Address, "together", len(left))
 		if !lapse {
-			delete(d.entries, id)
+			d.drop(id)
 			continue
 		}
-		d.beginGrace(id, at)
+		d.beginGrace(id, at, lapseGrace)
 	}
 }
 
-// beginGrace keeps an upstream that left the list in use until lapseGrace is over. The
-// caller holds mu.
-func (d *Directory) beginGrace(id sandbarrow.ListedID, at sandbarrow.StoreRevision) {
+// drop takes an upstream out of use. The caller holds mu.
+func (d *Directory) drop(id sandbarrow.ListedID) {
+	d.restore.recordEnded(id, d.entries[id].instance.ID)
+	delete(d.entries, id)
+}
+
+// beginGrace keeps an upstream that left the list in use until a grace is over. The caller holds mu.
+func (d *Directory) beginGrace(id sandbarrow.ListedID, at sandbarrow.StoreRevision, grace time.Duration) {
 	d.lapsed[id] = at
-	time.AfterFunc(lapseGrace, func() { d.expire(id, at) })
+	time.AfterFunc(grace, func() { d.expire(id, at) })
 }
 
 // expire ends the grace of an upstream that has not listed itself again since it left at
@@ -68,7 +73,7 @@
 	defer d.mu.Unlock()
 	if left, lapsed := d.lapsed[id]; lapsed && left == at {
 		delete(d.lapsed, id)
-		delete(d.entries, id)
+		d.drop(id)
 		d.publish()
 	}
 }
--- a/directory/merge.go
+++ b/directory/merge.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/boottime"
 )
 
 // news is what one answer or message says of the list.
@@ -28,6 +29,7 @@
 		left:      map[sandbarrow.ListedID]sandbarrow.StoreRevision{},
 		told:      map[sandbarrow.ListedID]sandbarrow.KeyItem{},
 	}
+	d.observeEra(n.at)
 	d.confirm(n.at)
 	for _, it := range slices.SortedFunc(slices.Values(n.items), byRevision) {
 		if m.mergeItem(it, n.whole) {
@@ -81,6 +83,7 @@
 		if !lacked {
 			return false // it has returned since, or it would not be held
 		}
+		delete(m.restore.pending, id)
 		m.leave(id, it.Revision, whole)
 		return lacked
 	}
@@ -89,8 +92,13 @@
 		m.refuse(id, it, err)
 		return lacked
 	}
+	if whole && m.inRestoreGrace() && m.isOutdated(id, it, &instance) {
+		m.restore.pending[id] = it
+		return false
+	}
 	_, returned := m.left[id]
 	delete(m.left, id)
+	delete(m.restore.pending, id)
 	differs := m.apply(id, it, instance)
 	return lacked && (differs || returned)
 }
@@ -99,7 +107,7 @@
 // was written by something else: it gets nothing new until a good entry follows.
 func (m *merging) refuse(id sandbarrow.ListedID, it sandbarrow.KeyItem, why error) {
 	m.refused++
-	m.logger.Warn("upstream entry refused", "key", it.Key, "revision", uint64(it.Revision), "error", why.Error())
+	m.logger.Warn("upstream entry refused", "key", it.Key, "revision", it.Revision, "error", why.Error())
 	m.left[id] = it.Revision
 }
 
@@ -109,22 +117,27 @@
 	_, held := m.entries[id]
 	_, lapsed := m.lapsed[id]
 	if whole && held && !lapsed {
-		m.beginGrace(id, at)
+		m.beginGrace(id, at, lapseGrace)
 		return
 	}
 	m.left[id] = at
 }
 
 // leaveAbsent notes which upstreams a whole list lacks, but for those that are known
-// from a newer revision.
+// from a newer revision. Those that a restored list lacks get a grace.
 func (m *merging) leaveAbsent(n news) {
 	present := map[sandbarrow.ListedID]bool{}
 	for _, it := range n.items {
 		present[m.list.ListedID(it.Key)] = true
 	}
 	for id := range m.entries {
-		if !present[id] && m.known(id) <= n.at {
-			m.left[id] = n.at
+		if present[id] || m.known(id) > n.at {
+			continue
+		}
+		if _, lapsed := m.lapsed[id]; !lapsed && m.inRestoreGrace() && m.known(id).Era() < n.at.Era() {
+			m.beginGrace(id, n.at, boottime.Until(m.restore.graceUntil))
+			continue
 		}
+		m.left[id] = n.at
 	}
 }
--- a/enginelink/estatesync.go
+++ b/enginelink/estatesync.go
@@ -23,8 +23,8 @@
 func AnnounceMarks(ctx context.Context, rpc *jsonrpc2.Conn, e *estate.Estate) {
 	for ctx.Err() == nil {
 		mark, changed := e.Mark()
-		if mark > 0 {
-			if err := rpc.Notify(ctx, MethodMark, Mark{Revision: mark}); err != nil {
+		if mark.Revision > 0 {
+			if err := rpc.Notify(ctx, MethodMark, mark); err != nil {
 				return
 			}
 		}
@@ -39,10 +39,10 @@
 // store brings it within lead.
 func FollowMark(ctx context.Context, rpc *jsonrpc2.Conn, e *estate.Estate, m Mark, lead time.Duration) {
 	mine, _ := e.Mark()
-	if mine >= m.Revision {
+	if !mine.MayLack(m) {
 		return
 	}
-	if mine > 0 && lead > 0 {
+	if mine.Revision > 0 && lead > 0 {
 		select {
 		case <-time.After(lead):
 		case <-ctx.Done():
@@ -51,7 +51,7 @@
 	}
 	e.Fetching.Lock()
 	defer e.Fetching.Unlock()
-	if mine, _ = e.Mark(); mine >= m.Revision {
+	if mine, _ = e.Mark(); !mine.MayLack(m) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
@@ -65,10 +65,10 @@
 	mine, _ := e.Mark()
 	asked := boottime.Now()
 	var got Estate
-	if err := rpc.Call(ctx, MethodFetch, Mark{Revision: mine}, &got); err != nil {
+	if err := rpc.Call(ctx, MethodFetch, mine, &got); err != nil {
 		return err
 	}
-	e.Learn(got.Items, got.Mark)
+	e.Learn(got.Items, Mark{Earlier: got.Earlier, Revision: got.Mark})
 	if got.AgeMS != nil {
 		e.Confirm(asked.Add(-time.Duration(*got.AgeMS)*time.Millisecond), got.Table)
 	}
@@ -79,8 +79,8 @@
 func ServeFetch(rpc *jsonrpc2.Conn, r *jsonrpc2.Request, e *estate.Estate) (any, error) {
 	return wire.Later(rpc, r, func(m Mark) any {
 		confirmed, table := e.Confirmed() // before the items, which may be newer
-		items, mark := e.Since(m.Revision)
-		return Estate{AgeMS: ageMS(confirmed), Items: items, Mark: mark, Table: table}
+		items, mark := e.Since(m)
+		return Estate{AgeMS: ageMS(confirmed), Earlier: mark.Earlier, Items: items, Mark: mark.Revision, Table: table}
 	})
 }
 
--- a/enginelink/messages.go
+++ b/enginelink/messages.go
@@ -11,6 +11,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/crash"
+	"sandbarrow.example/sandbarrow/estate"
 	"sandbarrow.example/sandbarrow/promptcache"
 	"sandbarrow.example/sandbarrow/quota"
 	"sandbarrow.example/sandbarrow/readspeed"
@@ -133,6 +134,8 @@
 // Lead asks a controller to lead a quota shard.
 type Lead struct {
 	Shard quota.Shard `json:"shard"`
+	// Term is the newest term that the gateway knows of, or 0.
+	Term quota.Term `json:"term,omitempty"`
 }
 
 // LeadTerm is one term of a shard's leader.
@@ -198,18 +201,18 @@
 	Sends int `json:"sends,omitempty"`
 }
 
-// Mark is the revision up to which a side's estate is complete.
-type Mark struct {
-	Revision sandbarrow.StoreRevision `json:"revision"`
-}
+// Mark says up to which revisions a side's estate is complete.
+type Mark = estate.Mark
 
 // Estate answers a fetch.
 type Estate struct {
 	// AgeMS is how long ago the sender's state was confirmed as the newest, in
 	// milliseconds at the answer; nil where it never was.
-	AgeMS *int64                   `json:"age_ms,omitempty"`
-	Items []sandbarrow.KeyItem     `json:"items"`
-	Mark  sandbarrow.StoreRevision `json:"mark"`
+	AgeMS *int64 `json:"age_ms,omitempty"`
+	// Earlier holds the revisions up to which the sender is complete in earlier eras of the store.
+	Earlier []sandbarrow.StoreRevision `json:"earlier,omitempty"`
+	Items   []sandbarrow.KeyItem       `json:"items"`
+	Mark    sandbarrow.StoreRevision   `json:"mark"`
 	// Table is the revision of the sender's table of routes.
 	Table sandbarrow.StoreRevision `json:"table,omitempty"`
 }
--- a/estate/estate.go
+++ b/estate/estate.go
@@ -1,12 +1,14 @@
 // Package estate follows the operators' state: the table of routes and the named
 // versions of adapters. It owns this process's view of it, which comes from the
-// platform's store and from peers, is merged by the store's revision of each key and
-// never goes back. It relies on Documents to translate the operators' keys; gateways
-// and controllers use it. All its methods are safe for concurrent use.
+// platform's store and from peers, is merged by the store's revision of each key, across
+// eras of the store by the operators' version, and never goes back. It relies on
+// Documents to translate the operators' keys; gateways and controllers use it. All its
+// methods are safe for concurrent use.
 package estate
 
 import (
 	"bytes"
+	"cmp"
 	"log/slog"
 	"maps"
 	"slices"
@@ -75,20 +77,22 @@
 
 	mu sync.Mutex
 	// answered is when the store last answered this process about this state.
-	answered time.Time
-	changed  chan struct{}
-	// confirmed is the latest time at which nothing newer than the view was known to exist.
-	confirmed time.Time
-	items     map[string]sandbarrow.KeyItem
+	answered     time.Time
+	changed      chan struct{}
+	confirmation confirmation
+	items        map[string]sandbarrow.KeyItem
 	// latest has all items applied. It is apart from view, which stays nil until there is
 	// a table, so that a version named before that is not lost.
 	latest View
-	mark   sandbarrow.StoreRevision
+	mark   Mark
 }
 
 // New returns an estate that knows nothing yet.
 func New(d Documents, logger *slog.Logger) *Estate {
-	return &Estate{changed: make(chan struct{}), documents: d, items: map[string]sandbarrow.KeyItem{}, logger: logger}
+	return &Estate{
+		changed: make(chan struct{}), documents: d, items: map[string]sandbarrow.KeyItem{}, logger: logger,
+		confirmation: confirmation{notNewer: map[sandbarrow.StoreEra]sandbarrow.StoreRevision{}},
+	}
 }
 
 // View returns the state in force, or nil before the first table.
@@ -96,26 +100,26 @@
 	return e.view.Load()
 }
 
-// Mark is the revision up to which this estate is complete, and a channel that
-// closes at its next change.
-func (e *Estate) Mark() (sandbarrow.StoreRevision, <-chan struct{}) {
+// Mark returns up to which revisions this estate is complete, and a channel that closes
+// at its next change.
+func (e *Estate) Mark() (Mark, <-chan struct{}) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.mark, e.changed
 }
 
-// Since returns the items that changed after a revision, for a peer that is
-// complete up to it, and the revision that makes it complete.
-func (e *Estate) Since(after sandbarrow.StoreRevision) ([]sandbarrow.KeyItem, sandbarrow.StoreRevision) {
+// Since returns the items that a peer with the given mark may lack, and the mark up to
+// which they make it complete.
+func (e *Estate) Since(known Mark) ([]sandbarrow.KeyItem, Mark) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var items []sandbarrow.KeyItem
 	for _, it := range e.items {
-		if it.Revision > after {
+		if !known.covers(it.Revision) {
 			items = append(items, it)
 		}
 	}
-	slices.SortFunc(items, func(a, b sandbarrow.KeyItem) int { return int(a.Revision) - int(b.Revision) })
+	slices.SortFunc(items, func(a, b sandbarrow.KeyItem) int { return cmp.Compare(a.Revision, b.Revision) })
 	return items, e.mark
 }
 
@@ -127,11 +131,11 @@
 	return e.answered
 }
 
-// Learn applies changes that a peer has sent and the revision up to which they are complete.
-func (e *Estate) Learn(items []sandbarrow.KeyItem, at sandbarrow.StoreRevision) {
+// Learn applies changes that a peer has sent and the mark up to which they are complete.
+func (e *Estate) Learn(items []sandbarrow.KeyItem, mark Mark) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.merge(fromPeer, items, at)
+	e.merge(fromPeer, items, mark)
 }
 
 // Replace applies the whole prefix, as the store has it.
@@ -145,7 +149,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.answered = time.Now()
-	e.merge(fromStore, items, at)
+	e.merge(fromStore, items, Mark{Revision: at})
 }
 
 // source says who has sent a change, for log lines.
@@ -157,30 +161,77 @@
 )
 
 // merge keeps what is newer than what is known. The caller holds mu.
-func (e *Estate) merge(from source, items []sandbarrow.KeyItem, at sandbarrow.StoreRevision) {
-	changed := false
+func (e *Estate) merge(from source, items []sandbarrow.KeyItem, mark Mark) {
+	e.confirmation.observeEra(mark.Revision, items)
+	var changed []sandbarrow.KeyItem
 	for _, it := range items {
-		if it.Gone {
-			continue // a removed key keeps its last meaning: nothing goes back
-		}
-		if known := e.items[it.Key]; it.Revision <= known.Revision {
-			if !bytes.Equal(it.Value, known.Value) {
-				e.logger.Info("older operators' key ignored", "key", it.Key, "revision", uint64(it.Revision), "known", uint64(known.Revision), "from", string(from))
-			}
-			continue
+		known, exists := e.items[it.Key]
+		switch {
+		case it.Gone: // a removed key keeps its last meaning: nothing goes back
+		case exists && !e.supersedes(it, known):
+			e.ignoreOlder(from, it, known)
+		default:
+			e.items[it.Key] = it
+			changed = append(changed, it)
 		}
-		e.items[it.Key] = it
-		changed = true
 	}
-	e.mark = max(e.mark, at)
-	if !changed {
+	e.mark = e.mark.merge(mark)
+	if len(changed) == 0 {
 		return
 	}
-	e.compile(from, items)
+	e.compile(from, changed)
 	close(e.changed)
 	e.changed = make(chan struct{})
 }
 
+// supersedes reports whether an item replaces the known one of its key. Within an era of
+// the store the higher revision wins. Across eras the operators' own version decides,
+// since the store may have been restored from a copy older than what is known.
+func (e *Estate) supersedes(it, known sandbarrow.KeyItem) bool {
+	if it.Revision.Era() == known.Revision.Era() {
+		return it.Revision > known.Revision
+	}
+	version, err := e.versionOf(it)
+	if err != nil {
+		e.logger.Warn("malformed operators' key of another era ignored", "key", it.Key, "revision", it.Revision, "error", err.Error())
+		return false
+	}
+	knownVersion, err := e.versionOf(known)
+	if err != nil {
+		return true // the known one was refused
+	}
+	return version > knownVersion || version == knownVersion && it.Revision > known.Revision
+}
+
+// versionOf returns the version that the operators gave an item, or 0 for a key without
+// versions.
+func (e *Estate) versionOf(it sandbarrow.KeyItem) (uint64, error) {
+	_, version, err := e.documents.Version(it)
+	if !errors.Is(err, ErrOtherKey) {
+		return uint64(version), err
+	}
+	if !e.documents.IsTable(it.Key) {
+		return 0, nil
+	}
+	table, err := e.documents.Table(it.Value)
+	if err != nil {
+		return 0, err
+	}
+	return table.Version, nil
+}
+
+// ignoreOlder logs an item that does not replace the known one and, if that is the table
+// in force, records that the item is no newer. The caller holds mu.
+func (e *Estate) ignoreOlder(from source, it, known sandbarrow.KeyItem) {
+	if bytes.Equal(it.Value, known.Value) {
+		return
+	}
+	e.logger.Info("older operators' key ignored", "key", it.Key, "revision", it.Revision, "known", known.Revision, "from", string(from))
+	if e.documents.IsTable(it.Key) && known.Revision == e.latest.Revision {
+		e.confirmation.addNotNewer(it.Revision)
+	}
+}
+
 // compile puts new items in force, if there is a table. A malformed one keeps the last good
 // one. The caller holds mu.
 func (e *Estate) compile(from source, items []sandbarrow.KeyItem) {
@@ -207,19 +258,30 @@
 		}
 		return
 	case !errors.Is(err, ErrOtherKey):
-		e.logger.Warn("adapter version refused, the last one stays", "key", it.Key, "revision", uint64(it.Revision), "error", err.Error())
+		e.logger.Warn("adapter version refused, the last one stays", "key", it.Key, "revision", it.Revision, "error", err.Error())
 		return
 	}
-	if !e.documents.IsTable(it.Key) || it.Revision <= next.Revision {
+	if !e.documents.IsTable(it.Key) {
 		return
 	}
 	table, err := e.documents.Table(it.Value)
 	if err != nil {
-		e.logger.Error("configuration refused, the last one stays", "key", it.Key, "revision", uint64(it.Revision), "error", err.Error())
+		e.logger.Error("configuration refused, the last one stays", "key", it.Key, "revision", it.Revision, "error", err.Error())
+		return
+	}
+	sameEra := next.Table == nil || it.Revision.Era() == next.Revision.Era()
+	if sameEra && it.Revision <= next.Revision || !sameEra && table.Version < next.Table.Version {
 		return
 	}
-	next.Table, next.Revision, next.At = table, it.Revision, time.Now()
-	e.logger.Info("configuration in force", "version", table.Version, "revision", uint64(it.Revision), "from", string(from))
+	e.confirmation.addNotNewer(it.Revision)
+	if it.Revision < next.Revision {
+		e.confirmation.invalidate(e.mark)
+	}
+	if sameEra || table.Version > next.Table.Version {
+		next.At = time.Now()
+	}
+	next.Table, next.Revision = table, it.Revision
+	e.logger.Info("configuration in force", "version", table.Version, "revision", it.Revision, "from", string(from))
 }
 
 // logNamed writes a line for a version that is in force now.
@@ -227,8 +289,8 @@
 	if key.Adapter == "" {
 		// Engines that run keep the weights that they have: only those that load the model
 		// from now on differ.
-		e.logger.Info("base model version named", "model", string(key.Model), "model_version", uint64(v), "revision", uint64(at))
+		e.logger.Info("base model version named", "model", string(key.Model), "model_version", uint64(v), "revision", at)
 		return
 	}
-	e.logger.Info("adapter version named", "model", string(key.Model), "adapter", string(key.Adapter), "version", uint64(v), "revision", uint64(at))
+	e.logger.Info("adapter version named", "model", string(key.Model), "adapter", string(key.Adapter), "version", uint64(v), "revision", at)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -148,6 +148,9 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "sandbarrow_gateway_configuration_revision", Help: "The store's revision of the configuration in force; 0 before the first.",
 		}, g.revisionInForce),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "sandbarrow_gateway_store_era", Help: "The store's era, which rises when it returns from an older copy; 0 where it names none.",
+		}, g.storeEra),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "sandbarrow_gateway_store_answered_seconds", Help: "Time since the store last answered about the operators' state; -1 where it never did.",
 		}, g.answeredSeconds),
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -8,6 +8,7 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
 	"sandbarrow.example/sandbarrow/forward"
 	"sandbarrow.example/sandbarrow/internal/pause"
@@ -22,6 +23,8 @@
 	listTimeout = 2500 * time.Millisecond
 	// stalePause is the pause between two rounds while the list is unconfirmed.
 	stalePause = 700 * time.Millisecond
+	// eraPause is the pause between two checks for a restore of the store.
+	eraPause = 200 * time.Millisecond
 	// peerStagger is how long one peer has before the next one is asked too: far above a round
 	// trip, below peerTimeout.
 	peerStagger = 150 * time.Millisecond
@@ -68,15 +71,20 @@
 }
 
 // learnFromPeers asks peers for the estate and the list of upstreams while they
-// are not known yet, or the store has not confirmed the list for some time.
+// are not known yet, once after each restore of the store, as peers may know what it has
+// lost, and while the store has not confirmed the list for some time.
 func (g *Gateway) learnFromPeers(ctx context.Context) error {
+	var era sandbarrow.StoreEra
 	for ctx.Err() == nil {
 		known := g.estate.View() != nil && g.directory.View() != nil
+		current := g.directory.Mark().Era()
 		switch {
 		case !known:
 			pause.For(ctx, peerPause)
+		case current > era:
+			era = current
 		case g.directory.Age() < listTimeout:
-			pause.For(ctx, listTimeout-g.directory.Age())
+			pause.For(ctx, min(eraPause, listTimeout-g.directory.Age()))
 			continue
 		default:
 			pause.For(ctx, stalePause)
@@ -143,7 +151,7 @@
 	after, _ := g.estate.Mark()
 	adopted := g.directory.Adopt(list.Items, list.Mark)
 	if adopted {
-		g.logger.Info("upstreams learnt from a peer", "peer", address, "upstreams", len(list.Items), "revision", uint64(list.Mark))
+		g.logger.Info("upstreams learnt from a peer", "peer", address, "upstreams", len(list.Items), "revision", list.Mark)
 	}
-	return adopted || after > before, nil
+	return adopted || before.MayLack(after), nil
 }
--- a/gateway/quotaleads.go
+++ b/gateway/quotaleads.go
@@ -135,14 +135,14 @@
 		return
 	}
 	for s := range q.needed() {
-		since, missing := q.missing(s, now)
+		since, term, missing := q.missing(s, now)
 		if !missing || now.Sub(since) < settleFor && !q.gateway.linksSettled(len(links)) {
 			continue
 		}
 		slices.SortFunc(links, func(a, b *controllerLink) int { return cmp.Compare(rank(s, b), rank(s, a)) })
 		chosen := links[int(now.Sub(since)/nominateFor)%len(links)]
 		if rpc := chosen.connection(); rpc != nil {
-			_ = rpc.Notify(ctx, enginelink.MethodLead, enginelink.Lead{Shard: s}) // on a broken link the next look nominates another
+			_ = rpc.Notify(ctx, enginelink.MethodLead, enginelink.Lead{Shard: s, Term: term}) // on a broken link the next look nominates another
 		}
 	}
 }
@@ -156,19 +156,19 @@
 	return up*settledParts >= known*(settledParts-1)
 }
 
-// missing reports whether a shard has no usable leader, and since when.
-func (q *quotaLeads) missing(s quota.Shard, now time.Time) (time.Time, bool) {
+// missing reports whether a shard has no usable leader, since when, and its last known term.
+func (q *quotaLeads) missing(s quota.Shard, now time.Time) (since time.Time, last quota.Term, missing bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	lead := &q.byShard[s]
 	if lead.usable(now) {
 		lead.missing = time.Time{}
-		return time.Time{}, false
+		return time.Time{}, lead.term, false
 	}
 	if lead.missing.IsZero() {
 		lead.missing = now
 	}
-	return lead.missing, true
+	return lead.missing, lead.term, true
 }
 
 // needed are the shards of workspaces with a limit, and that whose leader confirms the
--- a/gateway/trust.go
+++ b/gateway/trust.go
@@ -69,7 +69,7 @@
 func (g *Gateway) stateAttributes() []slog.Attr {
 	complete, _ := g.estate.Mark()
 	return []slog.Attr{
-		slog.Uint64("complete_to", uint64(complete)), slog.Int64("store_answered_ms", sinceMS(g.estate.Answered())),
+		slog.Any("complete_to", complete.Revision), slog.Int64("store_answered_ms", sinceMS(g.estate.Answered())),
 	}
 }
 
@@ -97,7 +97,12 @@
 	if view == nil {
 		return 0
 	}
-	return float64(view.Revision)
+	return float64(view.Revision.Number())
+}
+
+// storeEra returns the store's era when the list of upstreams was read.
+func (g *Gateway) storeEra() float64 {
+	return float64(g.directory.Mark().Era())
 }
 
 // confirmedSeconds is how long ago the configuration was known to be the newest, in
--- a/ids.go
+++ b/ids.go
@@ -38,9 +38,6 @@
 // Incarnation names one run of an agent process.
 type Incarnation string
 
-// LeaseID names a lease granted by the platform's store.
-type LeaseID string
-
 // PolicyID names a policy of the operators.
 type PolicyID string
 
--- a/instance.go
+++ b/instance.go
@@ -33,6 +33,13 @@
 	return ListedID(id)
 }
 
+// Started returns when the instance started, or 0 if the id has no start time.
+func (i InstanceID) Started() UnixMillis {
+	_, started, _ := strings.Cut(string(i), startSeparator)
+	number, _ := strconv.ParseInt(started, 10, 64) // NewInstanceID wrote it
+	return UnixMillis(number)
+}
+
 // Is reports whether two ids may name the same start: those that do, and those of the same
 // upstream where one does not say when it started.
 func (i InstanceID) Is(other InstanceID) bool {
--- a/internal/storetest/faultystore.go
+++ b/internal/storetest/faultystore.go
@@ -37,6 +37,9 @@
 	})
 }
 
+// EraSince passes on.
+func (s *Store) EraSince() (time.Time, bool) { return s.Below.EraSince() }
+
 // Get passes on.
 func (s *Store) Get(ctx context.Context, key string) (sandbarrow.Item, error) {
 	return with(s, func() (sandbarrow.Item, error) { return s.Below.Get(ctx, key) })
@@ -48,9 +51,8 @@
 }
 
 // RenewLease passes on.
-func (s *Store) RenewLease(ctx context.Context, lease sandbarrow.LeaseID) error {
-	_, err := with(s, func() (struct{}, error) { return struct{}{}, s.Below.RenewLease(ctx, lease) })
-	return err
+func (s *Store) RenewLease(ctx context.Context, lease sandbarrow.LeaseID) (sandbarrow.StoreEra, error) {
+	return with(s, func() (sandbarrow.StoreEra, error) { return s.Below.RenewLease(ctx, lease) })
 }
 
 // RevokeLease passes on.
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -60,8 +60,18 @@
 	mu       sync.Mutex
 	lease    sandbarrow.LeaseID
 	failedAt time.Time
-	token    sandbarrow.FencingToken
-	until    time.Time
+	// leasedUntil is the earliest time at which the store may end the last lease, leasedEra is
+	// the era of that lease. forget keeps both.
+	leasedEra   sandbarrow.StoreEra
+	leasedUntil time.Time
+	// notBefore is the time until which a holder of an earlier era may still act.
+	notBefore time.Time
+	// observed is the newest token passed to ObserveToken.
+	observed sandbarrow.FencingToken
+	// storedValue is the key's value written under the lease.
+	storedValue string
+	token       sandbarrow.FencingToken
+	until       time.Time
 }
 
 // Option changes a Holder.
@@ -99,13 +109,15 @@
 
 // Check decides whether an order may be sent now, by the lease alone: Held until a
 // quarter of its life before its end, Outage when it lapsed while the store could not
-// be reached, else Lost. Ask right before each order is sent.
+// be reached, else Lost. A lease that was acquired after a restore of the store is Held only
+// once any lease that the store has lost must have lapsed. Ask right before each order is
+// sent.
 func (h *Holder) Check() Grant {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.now()
 	switch {
-	case h.token != 0 && now.Before(h.until):
+	case h.token != 0 && now.Before(h.until) && !now.Before(h.notBefore):
 		return Grant{State: Held, Token: h.token}
 	case h.failedAt.After(h.until):
 		return Grant{State: Outage, Token: h.token}
@@ -160,15 +172,75 @@
 		return sandbarrow.ErrStoreLeaseLost
 	}
 	asked := h.now()
-	if err := h.store.RenewLease(ctx, id); err != nil {
+	era, err := h.store.RenewLease(ctx, id)
+	if err != nil {
 		return err
 	}
+	if era != id.Era() {
+		if id, err = h.readLease(ctx); err != nil {
+			return err
+		}
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.until = asked.Add(h.ttl - h.ttl/marginShare)
+	if h.lease == "" {
+		return nil // released during the call
+	}
+	if id != h.lease {
+		h.awaitEarlierHolders(era)
+	}
+	h.setLease(id, asked)
 	return nil
 }
 
+// setLease records a lease that the store granted or renewed on a call begun at asked. The caller holds mu.
+func (h *Holder) setLease(id sandbarrow.LeaseID, asked time.Time) {
+	h.lease, h.leasedEra, h.leasedUntil = id, id.Era(), asked.Add(h.ttl)
+	h.until = h.leasedUntil.Add(-h.ttl / marginShare)
+}
+
+// readLease returns the key's lease after a restore of the store, if the key still has this holder's value.
+// The restored copy may be older than the lease, and another lease may have got its name.
+func (h *Holder) readLease(ctx context.Context) (sandbarrow.LeaseID, error) {
+	item, err := h.store.Get(ctx, h.key)
+	if errors.Is(err, sandbarrow.ErrStoreNotFound) {
+		return "", errors.Annotate(sandbarrow.ErrStoreLeaseLost, "key lost by the store")
+	}
+	if err != nil {
+		return "", err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if string(item.Value) != h.storedValue {
+		return "", errors.Annotate(sandbarrow.ErrStoreLeaseLost, "key has another holder")
+	}
+	if item.Lease != "" {
+		return item.Lease, nil
+	}
+	return sandbarrow.NewLeaseID(item.Revision.Era(), h.lease.Name()), nil
+}
+
+// ObserveToken records a token that some holder is known to have had. If the token is of an earlier era, its
+// lease may have been lost by the store, so that its holder may act until the lease must have lapsed.
+func (h *Holder) ObserveToken(token sandbarrow.FencingToken) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.observed = max(h.observed, token)
+}
+
+// awaitEarlierHolders delays the use of the lease until the leases of earlier eras must have lapsed, as the
+// store has renewed none of them since its era began. There is no delay if no earlier era is known, or if
+// this holder itself had the lease when the era began. The caller holds mu.
+func (h *Holder) awaitEarlierHolders(era sandbarrow.StoreEra) {
+	since, first := h.store.EraSince()
+	known := h.observed != 0 && sandbarrow.StoreRevision(h.observed).Era() < era
+	ownBefore := h.leasedEra+1 == era && h.leasedUntil.After(since)
+	if first && !known || ownBefore {
+		return
+	}
+	h.notBefore = since.Add(h.ttl)
+}
+
 // forget drops a lease that the store has ended. The token is kept: until
 // another holder acts, no newer one is known.
 func (h *Holder) forget() {
@@ -201,9 +273,10 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.lease = id
+	h.awaitEarlierHolders(revision.Era())
+	h.setLease(id, asked)
+	h.storedValue = value
 	h.token = sandbarrow.FencingToken(revision)
-	h.until = asked.Add(h.ttl - h.ttl/marginShare)
 	h.logger.Info("lease acquired", "key", h.key, "token", uint64(h.token))
 	return nil
 }
@@ -223,8 +296,11 @@
 	if err != nil || !IsOwnedBy(item.Value, h.owner) {
 		return false
 	}
-	parts := strings.Split(string(item.Value), ownerSeparator)
-	id := sandbarrow.LeaseID(parts[len(parts)-1])
+	id := item.Lease
+	if id == "" {
+		parts := strings.Split(string(item.Value), ownerSeparator)
+		id = sandbarrow.LeaseID(parts[len(parts)-1])
+	}
 	h.logger.Info("lease of a predecessor ended", "key", h.key, "owner", h.owner)
 	err = h.store.RevokeLease(ctx, id)
 	return err == nil || errors.Is(err, sandbarrow.ErrStoreLeaseLost)
--- a/prefixwatch/prefixwatch.go
+++ b/prefixwatch/prefixwatch.go
@@ -98,11 +98,11 @@
 			continue
 		}
 		began := time.Now()
-		next, err := w.step(ctx, at, known)
+		next, err := w.step(ctx, at, known, up)
 		switch {
 		case err == nil:
 			if !up {
-				w.Logger.Info("store regained", "prefix", w.Prefix, "revision", uint64(next), "lost_ms", time.Since(lost).Milliseconds())
+				w.Logger.Info("store regained", "prefix", w.Prefix, "revision", next, "lost_ms", time.Since(lost).Milliseconds())
 			}
 			at, known, up, backoff = next, true, true, firstPause
 			w.waitForPace(ctx, began)
@@ -113,7 +113,7 @@
 			}
 			if up {
 				lost = began
-				w.Logger.Warn("store lost", "prefix", w.Prefix, "revision", uint64(at), "waited_ms", time.Since(began).Milliseconds(), "error", err.Error())
+				w.Logger.Warn("store lost", "prefix", w.Prefix, "revision", at, "waited_ms", time.Since(began).Milliseconds(), "error", err.Error())
 			}
 			up = false
 			// A call that was silent has taken its time: another pause would add to the time in
@@ -167,7 +167,9 @@
 	return w.Pace
 }
 
-func (w *Watch) step(ctx context.Context, at sandbarrow.StoreRevision, known bool) (sandbarrow.StoreRevision, error) {
+// step reads all of the prefix or, if that is known, watches it once. After a failed call the watch does not
+// wait, so that a restore of the store is detected even if its new revisions have passed the old ones.
+func (w *Watch) step(ctx context.Context, at sandbarrow.StoreRevision, known, up bool) (sandbarrow.StoreRevision, error) {
 	if !known {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
@@ -182,6 +184,9 @@
 		return at, err
 	}
 	wait := w.wait()
+	if !up {
+		wait = 0
+	}
 	began := time.Now()
 	call, cancel := context.WithTimeout(ctx, wait+w.answers.bound())
 	defer cancel()
--- a/quota/leader/candidate.go
+++ b/quota/leader/candidate.go
@@ -68,13 +68,14 @@
 
 func newCandidate(l *Leader, s quota.Shard) *candidate {
 	holder := lease.NewHolder(l.config.Store, key(s), ttl, l.config.Logger, lease.WithOwner(string(l.config.Box)))
-	return &candidate{holder: holder, leader: l, nominated: boottime.Now(), shard: s}
+	return &candidate{holder: holder, leader: l, shard: s}
 }
 
 func key(s quota.Shard) string { return keyPrefix + strconv.Itoa(int(s)) }
 
-// nominate keeps the candidate trying.
-func (c *candidate) nominate() {
+// nominate keeps the candidate trying; lastTerm is the newest term known to the nominating gateway.
+func (c *candidate) nominate(lastTerm quota.Term) {
+	c.holder.ObserveToken(lastTerm)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.nominated = boottime.Now()
--- a/quota/leader/leader.go
+++ b/quota/leader/leader.go
@@ -45,7 +45,7 @@
 // concurrent use.
 type Leader struct {
 	config      Config
-	nominations chan quota.Shard
+	nominations chan enginelink.Lead
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -55,17 +55,17 @@
 // New returns a Leader that leads nothing; Run starts it.
 func New(c Config) *Leader {
 	return &Leader{
-		changed: make(chan struct{}), config: c, nominations: make(chan quota.Shard, nominationsMost), terms: map[quota.Shard]*term{},
+		changed: make(chan struct{}), config: c, nominations: make(chan enginelink.Lead, nominationsMost), terms: map[quota.Shard]*term{},
 	}
 }
 
 // Nominate asks this process to lead a shard.
-func (l *Leader) Nominate(s quota.Shard) {
-	if s < 0 || s >= quota.Shards {
+func (l *Leader) Nominate(n enginelink.Lead) {
+	if n.Shard < 0 || n.Shard >= quota.Shards {
 		return
 	}
 	select {
-	case l.nominations <- s:
+	case l.nominations <- n:
 	default:
 	}
 }
@@ -78,12 +78,14 @@
 	group.Go(func() error { return l.reclaim(ctx) })
 	for {
 		select {
-		case s := <-l.nominations:
+		case n := <-l.nominations:
+			s := n.Shard
 			if c := candidates[s]; c != nil {
-				c.nominate()
+				c.nominate(n.Term)
 				continue
 			}
 			c := newCandidate(l, s)
+			c.nominate(n.Term)
 			candidates[s] = c
 			group.Go(func() error {
 				c.run(ctx)
@@ -131,7 +133,7 @@
 	for _, it := range items {
 		s, err := strconv.Atoi(strings.TrimPrefix(it.Key, keyPrefix))
 		if err == nil && lease.IsOwnedBy(it.Value, string(l.config.Box)) {
-			l.Nominate(quota.Shard(s))
+			l.Nominate(enginelink.Lead{Shard: quota.Shard(s)})
 		}
 	}
 	return nil
--- a/quota/leader/leader_test.go
+++ b/quota/leader/leader_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"log/slog"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	"sandbarrow.example/sandbarrow/enginelink"
 	"sandbarrow.example/sandbarrow/estate"
 	"sandbarrow.example/sandbarrow/internal/await"
+	"sandbarrow.example/sandbarrow/internal/storetest"
 	"sandbarrow.example/sandbarrow/quota"
 	"sandbarrow.example/sandbarrow/route"
 	"sandbarrow.example/sandbarrow/store"
@@ -45,11 +47,17 @@
 
 // start runs a leader on a box; stop ends it as a planned stop does, and waits.
 func start(t *testing.T, s *store.Memory, box sandbarrow.BoxID) (l *Leader, stop func()) {
+	t.Helper()
+	return startWith(t, s, s, box)
+}
+
+// startWith is start with separate stores for keys and leases.
+func startWith(t *testing.T, keys sandbarrow.PrefixStore, leases sandbarrow.LeaseStore, box sandbarrow.BoxID) (l *Leader, stop func()) {
 	t.Helper()
 	logger := slog.New(slog.DiscardHandler)
 	e := estate.New(documents{}, logger)
 	e.Update([]sandbarrow.KeyItem{{Key: "op/table", Revision: 1, Value: []byte("1000")}}, 1)
-	l = New(Config{Bound: quota.Bound{Overage: 0.1, Window: time.Second}, Box: box, Estate: e, Keys: s, Logger: logger, Store: s})
+	l = New(Config{Bound: quota.Bound{Overage: 0.1, Window: time.Second}, Box: box, Estate: e, Keys: keys, Logger: logger, Store: leases})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- l.Run(ctx) }()
@@ -72,7 +80,7 @@
 func (l *Leader) nominateUntil(t *testing.T, s quota.Shard, ok func() bool) {
 	t.Helper()
 	await.Until(t, 8*time.Second, "a leader of shard "+strconv.Itoa(int(s)), func() bool {
-		l.Nominate(s)
+		l.Nominate(enginelink.Lead{Shard: s})
 		return ok()
 	})
 }
@@ -86,7 +94,7 @@
 	defer stopSecond()
 	first.nominateUntil(t, shard, func() bool { return first.leads(shard) })
 	for end := time.Now().Add(400 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		second.Nominate(shard)
+		second.Nominate(enginelink.Lead{Shard: shard})
 		assert.Assert(t, !second.leads(shard))
 	}
 	before, _ := first.Leads()
@@ -103,7 +111,7 @@
 	l, stop := start(t, s, "box-2")
 	defer stop()
 	holder.nominateUntil(t, 3, func() bool { return holder.leads(3) })
-	l.Nominate(3)
+	l.Nominate(enginelink.Lead{Shard: 3})
 	time.Sleep(nominationLife + 3*tryPause)
 	stopHolder()
 	time.Sleep(3 * tryPause)
@@ -168,3 +176,31 @@
 		return !confirmed.IsZero()
 	})
 }
+
+func TestLeaderWaitsForLeaderLostByStore(t *testing.T) {
+	memory := store.NewMemory()
+	empty := memory.Copy()
+	var disconnected atomic.Bool
+	first, stopFirst := startWith(t, memory, &storetest.Store{Below: memory, Next: func() storetest.Fault {
+		if disconnected.Load() {
+			return storetest.Down
+		}
+		return storetest.None
+	}}, "box-1")
+	defer stopFirst()
+	shard := quota.ShardsOf("red")[0]
+	leads := func(l *Leader) bool {
+		return !l.Take(&enginelink.Take{Shard: shard, Units: 1, Workspace: "red"}).NotLeading
+	}
+	first.nominateUntil(t, shard, func() bool { return leads(first) })
+	disconnected.Store(true)
+	memory.Restore(empty)
+	second, stopSecond := start(t, memory, "box-2")
+	defer stopSecond()
+	assert.Assert(t, leads(first), "the first leader has detected the restore")
+	second.nominateUntil(t, shard, func() bool {
+		both := leads(first) && leads(second)
+		assert.Assert(t, !both, "two leaders of one shard")
+		return leads(second)
+	})
+}
--- a/quota/leader/suspension_test.go
+++ b/quota/leader/suspension_test.go
@@ -18,7 +18,7 @@
 	l, stop := start(t, s, "a")
 	defer stop()
 	shard := quota.ShardsOf("red")[0]
-	l.Nominate(shard)
+	l.Nominate(enginelink.Lead{Shard: shard})
 	take := func() enginelink.Taken { return l.Take(&enginelink.Take{Shard: shard, Units: 1, Workspace: "red"}) }
 	await.Until(t, 5*time.Second, "a grant", func() bool { return take().Granted })
 	boottime.Suspend(ttl)
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -14,7 +14,7 @@
 type Faults struct {
 	// Backoff refuses each run and announces the text as when to come back; "" refuses none.
 	Backoff string `json:"backoff"`
-	// Copy keeps a copy of the state for Restore (key-value service).
+	// Copy takes a copy of the state for Restore (key-value service).
 	Copy bool `json:"copy"`
 	// DelayMS holds each call back by milliseconds.
 	DelayMS int `json:"delay_ms"`
@@ -34,8 +34,8 @@
 	LoseReplies int `json:"lose_replies"`
 	// Restart empties the engine and cuts what runs, at once.
 	Restart bool `json:"restart"`
-	// Restore returns to the copy that was kept last, at first the empty state, and begins the next
-	// era (key-value service).
+	// Restore restores the last copy, or the empty state if none was taken, and begins the next era
+	// (key-value service).
 	Restore bool `json:"restore"`
 	// Truncate cuts as many answers in the middle (engine).
 	Truncate int `json:"truncate"`
--- a/standin/kv.go
+++ b/standin/kv.go
@@ -31,7 +31,7 @@
 	handler       http.Handler
 	readLimit     *rate.Limiter
 	store         *store.Memory
-	// copied is the state to which the fault Restore returns.
+	// copied is the state that the fault Restore restores.
 	copied     store.MemoryCopy
 	writeLimit *rate.Limiter
 }
@@ -44,10 +44,11 @@
 	mux.HandleFunc("PUT /kv/{key...}", k.write(k.servePut))
 	mux.HandleFunc("POST /leases", k.write(k.serveGrant))
 	mux.HandleFunc("PUT /leases/{id}", k.write(func(w http.ResponseWriter, r *http.Request) {
-		k.writeStatus(w, k.store.RenewLease(r.Context(), sandbarrow.LeaseID(r.PathValue("id"))))
+		_, err := k.store.RenewLease(r.Context(), k.lease(r.PathValue("id")))
+		k.writeStatus(w, err)
 	}))
 	mux.HandleFunc("DELETE /leases/{id}", k.write(func(w http.ResponseWriter, r *http.Request) {
-		k.writeStatus(w, k.store.RevokeLease(r.Context(), sandbarrow.LeaseID(r.PathValue("id"))))
+		k.writeStatus(w, k.store.RevokeLease(r.Context(), k.lease(r.PathValue("id"))))
 	}))
 	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, map[string]int64{"reads": k.Reads.Load(), "writes": k.Writes.Load()})
@@ -73,9 +74,7 @@
 }
 
 // ServeHTTP serves the key-value protocol.
-func (k *KV) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	k.handler.ServeHTTP(w, r)
-}
+func (k *KV) ServeHTTP(w http.ResponseWriter, r *http.Request) { k.handler.ServeHTTP(w, r) }
 
 // write counts a write and holds it to the rate.
 func (k *KV) write(next http.HandlerFunc) http.HandlerFunc {
@@ -96,14 +95,21 @@
 		return
 	}
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	era, err := strconv.ParseUint(r.URL.Query().Get("era"), 10, 64)
+	if err != nil {
+		era = uint64(k.store.Era()) // the caller sends no era
+	}
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	ctx, cancel := context.WithTimeout(r.Context(), min(time.Duration(wait)*time.Millisecond, watchLimit))
 	defer cancel()
-	item, err := k.store.Watch(ctx, r.PathValue("key"), k.revision(after))
+	item, err := k.store.Watch(ctx, r.PathValue("key"), sandbarrow.NewStoreRevision(sandbarrow.StoreEra(era), after))
 	if err != nil {
 		k.writeStatus(w, err)
 		return
 	}
+	if item.Lease != "" {
+		w.Header().Set(store.HeaderLease, item.Lease.Name())
+	}
 	writeRevision(w, item.Revision)
 	_, _ = w.Write(item.Value)
 }
@@ -119,7 +125,7 @@
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 		return
 	}
-	lease := sandbarrow.LeaseID(r.URL.Query().Get("lease"))
+	lease := k.lease(r.URL.Query().Get("lease"))
 	revision, err := k.store.CompareAndSwap(r.Context(), r.PathValue("key"), k.revision(previous), value, lease)
 	if err != nil {
 		k.writeStatus(w, err)
@@ -139,27 +145,31 @@
 		k.writeStatus(w, err)
 		return
 	}
-	k.writeEra(w)
-	writeJSON(w, http.StatusOK, map[string]sandbarrow.LeaseID{"id": id})
+	writeEra(w, id.Era())
+	writeJSON(w, http.StatusOK, map[string]string{"id": id.Name()})
 }
 
-// revision is the revision that a caller names by its number.
+// revision returns the revision with a number in the current era.
 func (k *KV) revision(number uint64) sandbarrow.StoreRevision {
 	return sandbarrow.NewStoreRevision(k.store.Era(), number)
 }
 
-// writeEra names the era in an answer without a revision.
-func (k *KV) writeEra(w http.ResponseWriter) {
-	w.Header().Set(store.HeaderEra, strconv.FormatUint(uint64(k.store.Era()), 10))
+// lease returns the id of a lease name in the current era, or "" for an empty name.
+func (k *KV) lease(name string) sandbarrow.LeaseID {
+	return sandbarrow.NewLeaseID(k.store.Era(), name)
+}
+
+func writeEra(w http.ResponseWriter, era sandbarrow.StoreEra) {
+	w.Header().Set(store.HeaderEra, strconv.FormatUint(uint64(era), 10))
 }
 
 func writeRevision(w http.ResponseWriter, r sandbarrow.StoreRevision) {
-	w.Header().Set(store.HeaderEra, strconv.FormatUint(uint64(r.Era()), 10))
+	writeEra(w, r.Era())
 	w.Header().Set("Revision", strconv.FormatUint(r.Number(), 10))
 }
 
 func (k *KV) writeStatus(w http.ResponseWriter, err error) {
-	k.writeEra(w)
+	writeEra(w, k.store.Era())
 	status := http.StatusOK
 	switch {
 	case errors.Is(err, sandbarrow.ErrStoreConflict):
--- a/store.go
+++ b/store.go
@@ -26,6 +26,9 @@
 
 // Item is a value with the store's revision of its key.
 type Item struct {
+	// Lease is the lease that the key is tied to. It is empty if there is none or the store does
+	// not report it.
+	Lease    LeaseID
 	Revision StoreRevision
 	Value    []byte
 }
@@ -33,15 +36,20 @@
 // LeaseStore is the part of the platform's key-value service that leases need.
 type LeaseStore interface {
 	// CompareAndSwap writes value if the key is at previous (0: absent). A
-	// non-empty lease ties the key's life to it.
+	// non-empty lease ties the key's life to it. It fails if previous or lease is of an
+	// earlier era.
 	CompareAndSwap(ctx context.Context, key string, previous StoreRevision, value []byte, lease LeaseID) (StoreRevision, error)
+	// EraSince returns when this process first saw the store's current era, on a clock
+	// that includes time suspended, and whether this is the first era it has seen.
+	EraSince() (since time.Time, first bool)
 	// Get reads a key.
 	Get(ctx context.Context, key string) (Item, error)
 	// GrantLease creates a lease that ends unless renewed within ttl.
 	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
-	// RenewLease starts a lease's ttl anew.
-	RenewLease(ctx context.Context, lease LeaseID) error
-	// RevokeLease ends a lease and removes its keys.
+	// RenewLease restarts a lease's ttl and returns the store's era. If that is later than
+	// the lease's era, the store may have renewed another lease of the same name.
+	RenewLease(ctx context.Context, lease LeaseID) (StoreEra, error)
+	// RevokeLease ends a lease and removes its keys. A lease of an earlier era is not revoked.
 	RevokeLease(ctx context.Context, lease LeaseID) error
 }
 
--- a/store/httpstore.go
+++ b/store/httpstore.go
@@ -8,12 +8,14 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/internal/httpcall"
+	"sandbarrow.example/sandbarrow/internal/storeera"
 )
 
 // leastWatch and mostWatch bound how long one watch call waits at the store; between them it
@@ -33,19 +35,30 @@
 // and its claims under way.
 const idleConnections = 16
 
-// HeaderEra names the store's era in each answer.
-const HeaderEra = "Store-Era"
+// The headers of answers.
+const (
+	// HeaderEra is the header of the store's era, in each answer.
+	HeaderEra = "Store-Era"
+	// HeaderLease is the header of the lease that a key is tied to.
+	HeaderLease = "Lease"
+
+	headerRevision = "Revision"
+)
 
 // HTTP is the platform's key-value service over HTTP. It uses net/http, since
 // a context must end a call in flight.
 type HTTP struct {
 	base   string
 	client *http.Client
+	eras   *storeera.Tracker
+	// unanswered is set while the last call got no answer, so that the store may have been restored
+	// since.
+	unanswered atomic.Bool
 }
 
 // NewHTTP returns a store at a base URL.
 func NewHTTP(base string) *HTTP {
-	return &HTTP{base: base, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}}}
+	return &HTTP{base: base, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}}, eras: storeera.NewTracker()}
 }
 
 // CompareAndSwap writes a key that is at previous.
@@ -53,76 +66,117 @@
 	if len(value) > sandbarrow.MaxValueBytes {
 		return 0, errors.Annotatef(sandbarrow.ErrStoreUnavailable, "key %s: value of %d bytes is over %d", key, len(value), sandbarrow.MaxValueBytes)
 	}
-	q := url.Values{"previous": {strconv.FormatUint(uint64(previous), 10)}}
+	current := s.eras.Current()
+	switch {
+	case lease != "" && lease.Era() != current:
+		return 0, errors.Annotatef(sandbarrow.ErrStoreLeaseLost, "key %s: lease of era %d in era %d", key, lease.Era(), current)
+	case previous != 0 && previous.Era() != current:
+		return 0, errors.Annotatef(sandbarrow.ErrStoreConflict, "key %s: revision of era %d in era %d", key, previous.Era(), current)
+	}
+	q := url.Values{"previous": {strconv.FormatUint(previous.Number(), 10)}}
 	if lease != "" {
-		q.Set("lease", string(lease))
+		q.Set("lease", lease.Name())
+	}
+	item, era, err := s.call(ctx, callTimeout, http.MethodPut, "/kv/"+key+"?"+q.Encode(), value)
+	if err == nil && era != current && (previous != 0 || lease != "") {
+		return 0, errors.Annotatef(sandbarrow.ErrStoreUnknown, "swap %s: era %d began during the call", key, era)
 	}
-	item, err := s.call(ctx, callTimeout, http.MethodPut, "/kv/"+key+"?"+q.Encode(), value)
 	return item.Revision, errors.Annotatef(err, "swap %s", key)
 }
 
+// EraSince returns when this process first saw the store's current era.
+func (s *HTTP) EraSince() (since time.Time, first bool) { return s.eras.Since() }
+
 // Get reads a key.
 func (s *HTTP) Get(ctx context.Context, key string) (sandbarrow.Item, error) {
-	item, err := s.call(ctx, callTimeout, http.MethodGet, "/kv/"+key, nil)
+	item, _, err := s.call(ctx, callTimeout, http.MethodGet, "/kv/"+key, nil)
 	return item, errors.Annotatef(err, "get %s", key)
 }
 
 // GrantLease creates a lease.
 func (s *HTTP) GrantLease(ctx context.Context, ttl time.Duration) (sandbarrow.LeaseID, error) {
-	item, err := s.call(ctx, callTimeout, http.MethodPost, "/leases?ttl_ms="+strconv.FormatInt(ttl.Milliseconds(), 10), nil)
+	item, era, err := s.call(ctx, callTimeout, http.MethodPost, "/leases?ttl_ms="+strconv.FormatInt(ttl.Milliseconds(), 10), nil)
 	if err != nil {
 		return "", errors.Annotate(err, "grant lease")
 	}
 	var reply struct {
-		ID sandbarrow.LeaseID `json:"id"`
+		ID string `json:"id"`
 	}
 	if err := json.Unmarshal(item.Value, &reply); err != nil {
 		return "", errors.Annotate(sandbarrow.ErrStoreUnknown, "grant lease: "+err.Error())
 	}
-	return reply.ID, nil
+	return sandbarrow.NewLeaseID(era, reply.ID), nil
 }
 
 // RenewLease starts a lease anew.
-func (s *HTTP) RenewLease(ctx context.Context, lease sandbarrow.LeaseID) error {
-	_, err := s.call(ctx, callTimeout, http.MethodPut, "/leases/"+string(lease), nil)
-	return errors.Annotatef(err, "renew lease %s", lease)
+func (s *HTTP) RenewLease(ctx context.Context, lease sandbarrow.LeaseID) (sandbarrow.StoreEra, error) {
+	_, era, err := s.call(ctx, callTimeout, http.MethodPut, "/leases/"+lease.Name(), nil)
+	return era, errors.Annotatef(err, "renew lease %s", lease)
 }
 
 // RevokeLease ends a lease.
 func (s *HTTP) RevokeLease(ctx context.Context, lease sandbarrow.LeaseID) error {
-	_, err := s.call(ctx, callTimeout, http.MethodDelete, "/leases/"+string(lease), nil)
+	if current := s.eras.Current(); lease.Era() != current {
+		return errors.Annotatef(sandbarrow.ErrStoreLeaseLost, "revoke lease of era %d in era %d", lease.Era(), current)
+	}
+	_, _, err := s.call(ctx, callTimeout, http.MethodDelete, "/leases/"+lease.Name(), nil)
 	return errors.Annotatef(err, "revoke lease %s", lease)
 }
 
-// Watch waits for a change of a key.
+// Watch waits for a change of a key. If after is of an earlier era, it returns the current value without
+// waiting for the store's revisions to pass the old one.
 func (s *HTTP) Watch(ctx context.Context, key string, after sandbarrow.StoreRevision) (sandbarrow.Item, error) {
+	if s.unanswered.Load() {
+		item, err := s.Get(ctx, key)
+		if err != nil || item.Revision > after {
+			return item, err
+		}
+	}
+	number := after.Number()
+	if after.Era() < s.eras.Current() {
+		number = 0
+	}
 	wait := leastWatch + rand.N(mostWatch-leastWatch)
 	q := url.Values{
-		"after":   {strconv.FormatUint(uint64(after), 10)},
+		"after":   {strconv.FormatUint(number, 10)},
+		"era":     {strconv.FormatUint(uint64(after.Era()), 10)},
 		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
-	item, err := s.call(ctx, wait+callTimeout, http.MethodGet, "/kv/"+key+"?"+q.Encode(), nil)
+	current := s.eras.Current()
+	call, cancel := s.eras.WithinEra(ctx, current)
+	defer cancel()
+	item, _, err := s.call(call, wait+callTimeout, http.MethodGet, "/kv/"+key+"?"+q.Encode(), nil)
+	if err != nil && s.eras.Current() > current {
+		return s.Get(ctx, key)
+	}
 	return item, errors.Annotatef(err, "watch %s", key)
 }
 
-func (s *HTTP) call(ctx context.Context, timeout time.Duration, method, path string, body []byte) (sandbarrow.Item, error) {
+func (s *HTTP) call(ctx context.Context, timeout time.Duration, method, path string, body []byte) (sandbarrow.Item, sandbarrow.StoreEra, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	a, err := httpcall.Do(ctx, s.client, httpcall.Call{
 		Body: body, Limit: sandbarrow.MaxValueBytes + 1, Method: method, URL: s.base + path,
 	})
 	httpcall.LeaveSilent(ctx, s.client)
+	s.unanswered.Store(err != nil)
 	switch {
 	case errors.Is(err, httpcall.ErrNotSent):
-		return sandbarrow.Item{}, errors.Annotate(sandbarrow.ErrStoreUnavailable, err.Error())
+		return sandbarrow.Item{}, 0, errors.Annotate(sandbarrow.ErrStoreUnavailable, err.Error())
 	case err != nil:
-		return sandbarrow.Item{}, errors.Annotate(sandbarrow.ErrStoreUnknown, err.Error())
+		return sandbarrow.Item{}, 0, errors.Annotate(sandbarrow.ErrStoreUnknown, err.Error())
+	}
+	era, err := s.eras.Observe(a.Header.Get(HeaderEra))
+	if err != nil {
+		return sandbarrow.Item{}, 0, errors.Annotate(sandbarrow.ErrStoreUnknown, err.Error())
 	}
 	if err := statusError(a.Status, a.Body); err != nil {
-		return sandbarrow.Item{}, err
+		return sandbarrow.Item{}, era, err
 	}
-	revision, _ := strconv.ParseUint(a.Header.Get("Revision"), 10, 64) // 0 in the answers that have none, those about leases
-	return sandbarrow.Item{Revision: sandbarrow.StoreRevision(revision), Value: a.Body}, nil
+	number, _ := strconv.ParseUint(a.Header.Get(headerRevision), 10, 64) // 0 in the answers that have none, those about leases
+	return sandbarrow.Item{
+		Lease: sandbarrow.NewLeaseID(era, a.Header.Get(HeaderLease)), Revision: sandbarrow.NewStoreRevision(era, number), Value: a.Body,
+	}, era, nil
 }
 
 func statusError(status int, body []byte) error {
--- a/store/measuredstore.go
+++ b/store/measuredstore.go
@@ -33,6 +33,9 @@
 	return revision, err
 }
 
+// EraSince passes on.
+func (m *Measured) EraSince() (time.Time, bool) { return m.below.EraSince() }
+
 // Get counts and passes on.
 func (m *Measured) Get(ctx context.Context, key string) (sandbarrow.Item, error) {
 	item, err := m.below.Get(ctx, key)
@@ -48,10 +51,10 @@
 }
 
 // RenewLease counts and passes on.
-func (m *Measured) RenewLease(ctx context.Context, lease sandbarrow.LeaseID) error {
-	err := m.below.RenewLease(ctx, lease)
+func (m *Measured) RenewLease(ctx context.Context, lease sandbarrow.LeaseID) (sandbarrow.StoreEra, error) {
+	era, err := m.below.RenewLease(ctx, lease)
 	m.count("renew", err)
-	return err
+	return era, err
 }
 
 // RevokeLease counts and passes on.
--- a/store/memoryprefix.go
+++ b/store/memoryprefix.go
@@ -16,7 +16,7 @@
 	defer m.mu.Unlock()
 	m.expire()
 	for key, revision := range t.Expected {
-		if m.at(m.items[key].revision) != revision {
+		if m.inEra(m.items[key].revision) != revision {
 			return 0, sandbarrow.ErrStoreConflict
 		}
 	}
@@ -28,7 +28,7 @@
 	for _, key := range t.Remove {
 		m.remove(key)
 	}
-	return m.at(m.revision), nil
+	return m.inEra(m.revision), nil
 }
 
 // Range reads all keys under a prefix.
@@ -39,11 +39,11 @@
 	var items []sandbarrow.KeyItem
 	for key, it := range m.items {
 		if strings.HasPrefix(key, prefix) {
-			items = append(items, sandbarrow.KeyItem{Key: key, Revision: m.at(it.revision), Value: it.value})
+			items = append(items, sandbarrow.KeyItem{Key: key, Revision: m.inEra(it.revision), Value: it.value})
 		}
 	}
 	slices.SortFunc(items, func(a, b sandbarrow.KeyItem) int { return cmp.Compare(a.Key, b.Key) })
-	return items, m.at(m.revision), nil
+	return items, m.inEra(m.revision), nil
 }
 
 // WatchPrefix waits until a key under a prefix changes past after.
@@ -70,17 +70,17 @@
 	m.expire()
 	var items []sandbarrow.KeyItem
 	for key, it := range m.items {
-		if m.at(it.revision) > after && strings.HasPrefix(key, prefix) {
-			items = append(items, sandbarrow.KeyItem{Key: key, Revision: m.at(it.revision), Value: it.value})
+		if m.inEra(it.revision) > after && strings.HasPrefix(key, prefix) {
+			items = append(items, sandbarrow.KeyItem{Key: key, Revision: m.inEra(it.revision), Value: it.value})
 		}
 	}
 	for key, number := range m.gone {
-		if m.at(number) > after && strings.HasPrefix(key, prefix) {
-			items = append(items, sandbarrow.KeyItem{Key: key, Gone: true, Revision: m.at(number)})
+		if m.inEra(number) > after && strings.HasPrefix(key, prefix) {
+			items = append(items, sandbarrow.KeyItem{Key: key, Gone: true, Revision: m.inEra(number)})
 		}
 	}
 	slices.SortFunc(items, func(a, b sandbarrow.KeyItem) int { return cmp.Compare(a.Revision, b.Revision) })
-	return items, m.at(m.revision), m.changed
+	return items, m.inEra(m.revision), m.changed
 }
 
 // remove drops a key and remembers that it is gone. The caller holds mu.
--- a/store/memorystore.go
+++ b/store/memorystore.go
@@ -12,20 +12,23 @@
 // Memory is a store in the memory of one process, for stand-ins, tests and
 // embedders that run alone.
 type Memory struct {
-	mu        sync.Mutex
-	changed   chan struct{}
-	era       sandbarrow.StoreEra
-	gone      map[string]uint64
-	items     map[string]memoryItem
-	leases    map[sandbarrow.LeaseID]*memoryLease
+	mu      sync.Mutex
+	changed chan struct{}
+	era     sandbarrow.StoreEra
+	// restoredAt is when the current era began; zero in the first one.
+	restoredAt time.Time
+	gone       map[string]uint64
+	items      map[string]memoryItem
+	// leases is keyed by lease name, without the era.
+	leases    map[string]*memoryLease
 	nextLease int
 	now       func() time.Time
-	// revision is the number of the last change within the era.
+	// revision is the number of the last change, without the era.
 	revision uint64
 }
 
 type memoryItem struct {
-	lease    sandbarrow.LeaseID
+	lease    string
 	revision uint64
 	value    []byte
 }
@@ -49,7 +52,7 @@
 		changed: make(chan struct{}),
 		gone:    map[string]uint64{},
 		items:   map[string]memoryItem{},
-		leases:  map[sandbarrow.LeaseID]*memoryLease{},
+		leases:  map[string]*memoryLease{},
 		now:     time.Now,
 	}
 	for _, o := range options {
@@ -63,16 +66,23 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expire()
-	if lease != "" && m.leases[lease] == nil {
+	if lease != "" && (lease.Era() != m.era || m.leases[lease.Name()] == nil) {
 		return 0, sandbarrow.ErrStoreLeaseLost
 	}
-	if m.at(m.items[key].revision) != previous {
+	if m.inEra(m.items[key].revision) != previous {
 		return 0, sandbarrow.ErrStoreConflict
 	}
 	m.bump()
-	m.items[key] = memoryItem{lease: lease, revision: m.revision, value: value}
+	m.items[key] = memoryItem{lease: lease.Name(), revision: m.revision, value: value}
 	delete(m.gone, key)
-	return m.at(m.revision), nil
+	return m.inEra(m.revision), nil
+}
+
+// EraSince returns when the current era began.
+func (m *Memory) EraSince() (since time.Time, first bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.restoredAt, m.restoredAt.IsZero()
 }
 
 // Get reads a key.
@@ -89,29 +99,32 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.nextLease++
-	id := sandbarrow.LeaseID("l" + strconv.Itoa(m.nextLease))
-	m.leases[id] = &memoryLease{expires: m.now().Add(ttl), ttl: ttl}
-	return id, nil
+	name := "l" + strconv.Itoa(m.nextLease)
+	m.leases[name] = &memoryLease{expires: m.now().Add(ttl), ttl: ttl}
+	return sandbarrow.NewLeaseID(m.era, name), nil
 }
 
 // RenewLease starts a lease anew.
-func (m *Memory) RenewLease(_ context.Context, lease sandbarrow.LeaseID) error {
+func (m *Memory) RenewLease(_ context.Context, lease sandbarrow.LeaseID) (sandbarrow.StoreEra, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expire()
-	l := m.leases[lease]
+	l := m.leases[lease.Name()]
 	if l == nil {
-		return sandbarrow.ErrStoreLeaseLost
+		return m.era, sandbarrow.ErrStoreLeaseLost
 	}
 	l.expires = m.now().Add(l.ttl)
-	return nil
+	return m.era, nil
 }
 
 // RevokeLease ends a lease and removes its keys.
 func (m *Memory) RevokeLease(_ context.Context, lease sandbarrow.LeaseID) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.drop(lease)
+	if lease.Era() != m.era {
+		return sandbarrow.ErrStoreLeaseLost
+	}
+	m.drop(lease.Name())
 	return nil
 }
 
@@ -138,7 +151,7 @@
 }
 
 // drop ends a lease. The caller holds mu.
-func (m *Memory) drop(lease sandbarrow.LeaseID) {
+func (m *Memory) drop(lease string) {
 	delete(m.leases, lease)
 	for key, it := range m.items {
 		if it.lease == lease {
@@ -163,10 +176,11 @@
 	defer m.mu.Unlock()
 	m.expire()
 	it, ok := m.items[key]
-	return sandbarrow.Item{Revision: m.at(it.revision), Value: it.value}, ok, m.changed
+	item := sandbarrow.Item{Lease: sandbarrow.NewLeaseID(m.era, it.lease), Revision: m.inEra(it.revision), Value: it.value}
+	return item, ok, m.changed
 }
 
-// at is a revision of the current era. The caller holds mu.
-func (m *Memory) at(number uint64) sandbarrow.StoreRevision {
+// inEra returns the revision with a number in the current era. The caller holds mu.
+func (m *Memory) inEra(number uint64) sandbarrow.StoreRevision {
 	return sandbarrow.NewStoreRevision(m.era, number)
 }
--- a/store/readonlystore.go
+++ b/store/readonlystore.go
@@ -28,7 +28,9 @@
 }
 
 // RenewLease refuses.
-func (ReadOnly) RenewLease(context.Context, sandbarrow.LeaseID) error { return errReadOnly }
+func (ReadOnly) RenewLease(context.Context, sandbarrow.LeaseID) (sandbarrow.StoreEra, error) {
+	return 0, errReadOnly
+}
 
 // RevokeLease refuses.
 func (ReadOnly) RevokeLease(context.Context, sandbarrow.LeaseID) error { return errReadOnly }
--- a/storerevision.go
+++ b/storerevision.go
@@ -1,20 +1,24 @@
 package sandbarrow
 
-// StoreEra counts how often the platform's store has returned from an older copy of its state, which
-// loses what it acknowledged after that copy; 0 where the store names no era.
+import (
+	"fmt"
+	"log/slog"
+)
+
+// StoreEra counts how often the platform's store was restored from an older copy of its state, which
+// loses the writes acknowledged since that copy. It is 0 if the store does not report an era.
 type StoreEra uint64
 
-// StoreRevision orders the changes of the platform's store: first by era, then by the store's own
-// revision within the era, which a store that has returned from a copy gives out again. 0 means
-// absent, or before all changes.
+// StoreRevision orders the changes of the platform's store, first by era, then by the store's own
+// revision number, which a restored store assigns again. 0 means absent, or before all changes.
 type StoreRevision uint64
 
-// eraShift leaves room for 10^12 revisions in an era. Up to era 8191 a StoreRevision is exact in JSON
-// readers that know floating-point numbers alone, as a fencing token may meet them.
+// eraShift leaves 40 bits, about 10^12, for the revision numbers of an era. Up to era 8191 a
+// StoreRevision, and so a fencing token, is below 2^53 and exact in JSON parsers that use float64.
 const eraShift = 40
 
-// NewStoreRevision returns the revision that a store names with a number in an era. The number 0
-// stands for an absent key in any era.
+// NewStoreRevision returns the revision with the given era and number. The number 0 means an absent key
+// in any era.
 func NewStoreRevision(era StoreEra, number uint64) StoreRevision {
 	if number == 0 {
 		return 0
@@ -22,8 +26,16 @@
 	return StoreRevision(uint64(era)<<eraShift | number)
 }
 
-// Era is the era in which the store gave out the revision.
+// Era returns the era in which the store assigned the revision.
 func (r StoreRevision) Era() StoreEra { return StoreEra(r >> eraShift) }
 
-// Number is the revision as the store names it within its era.
+// Number returns the store's own revision number, without the era.
 func (r StoreRevision) Number() uint64 { return uint64(r) & (1<<eraShift - 1) }
+
+// LogValue formats the revision as era/number, or as the number alone in era 0.
+func (r StoreRevision) LogValue() slog.Value {
+	if r.Era() == 0 {
+		return slog.Uint64Value(r.Number())
+	}
+	return slog.StringValue(fmt.Sprintf("%d/%d", r.Era(), r.Number()))
+}
