Rewrite requests that end upstreams after the store has lost them

The records that gateways keep in the store of requests that end upstreams were gone after the store was restored from an older copy and were not rewritten, so that gateways which started then knew nothing of them. Each gateway rewrites all of its records when it sees a later era. TestCrashesAreRewrittenAfterStoreRestore fails without that: no record after the restore, one with it.

--- a/gateway/crashkeeper.go
+++ b/gateway/crashkeeper.go
@@ -38,6 +38,8 @@
 	// changes; both are the writing loop's own.
 	kept     map[crash.Fingerprint]bool
 	sequence uint64
+	// era is the store's era in which they were written; also the writing loop's own.
+	era sandbarrow.StoreEra
 
 	mu sync.Mutex
 	// outdated are keys that nobody needs any more, as of gateways that are gone.
@@ -94,6 +96,7 @@
 // keep writes what has changed and is worth it, and removes what is forgotten. What fails is
 // tried again.
 func (k *crashKeeper) keep(ctx context.Context) {
+	k.resetOnRestore(k.gateway.directory.Mark().Era())
 	least := 1
 	if k.gateway.engines.anyUp() {
 		least = keptFrom
@@ -109,6 +112,15 @@
 	k.removeForgotten(ctx)
 }
 
+// resetOnRestore makes keep rewrite all records after a restore of the store, which may have lost them.
+func (k *crashKeeper) resetOnRestore(era sandbarrow.StoreEra) {
+	if era <= k.era {
+		return
+	}
+	k.era, k.sequence = era, 0
+	clear(k.kept)
+}
+
 // write writes records, and reports whether the store has taken them.
 func (k *crashKeeper) write(ctx context.Context, records []crash.Record) bool {
 	t := sandbarrow.Transaction{Put: map[string][]byte{}}
--- a/gateway/crashsync_test.go
+++ b/gateway/crashsync_test.go
@@ -101,6 +101,31 @@
 	})
 }
 
+func TestCrashesAreRewrittenAfterStoreRestore(t *testing.T) {
+	kept := store.NewMemory()
+	empty := kept.Copy()
+	g := New(Config{
+		Box: "a", Documents: testDocuments{}, Headers: testNames, Instances: testInstances{}, Logger: slog.New(slog.DiscardHandler),
+		Metrics: prometheus.NewRegistry(), Store: kept,
+	})
+	k := newCrashKeeper(g)
+	noteFatal(g, 2)
+	stored := func() int {
+		items, at, err := kept.Range(t.Context(), crashPrefix)
+		assert.NilError(t, err)
+		g.directory.Replace(nil, at)
+		return len(items)
+	}
+	k.keep(t.Context())
+	assert.Equal(t, stored(), 1)
+	kept.Restore(empty)
+	_, err := kept.Commit(t.Context(), sandbarrow.Transaction{Put: map[string][]byte{"other": nil}})
+	assert.NilError(t, err)
+	assert.Equal(t, stored(), 0)
+	k.keep(t.Context())
+	assert.Equal(t, stored(), 1)
+}
+
 // Without controllers and without the store they learn it from their peers.
 func TestCrashesReachGatewaysThroughPeers(t *testing.T) {
 	peers, err := net.Listen("tcp", "127.0.0.1:0")
