Apply configurations of a later store era on the entry path

Configurations are numbered within the store's state, so that numbers are assigned again after the store was restored from an older copy. Entries and agents refused each configuration whose number was not above the one in force. Across eras the history of a head tells which of two configurations was applied after the other; one that was applied in a later era replaces one of an earlier era. Marks between peers name the era. A restored configuration that is older is ignored without a pause. TestChangesAfterStoreRestoreComeIntoForce: a change whose number was assigned before is in force within 2 s at an entry that has the lost one and at one that started after the restore.

--- a/config/follower.go
+++ b/config/follower.go
@@ -22,12 +22,6 @@
 // the same revision with another digest.
 const ErrReverts = errors.ConstError("config: would revert")
 
-// Mark names a configuration in a few bytes; peers exchange it.
-type Mark struct {
-	Digest   sandbarrow.Digest   `json:"digest"`
-	Revision sandbarrow.Revision `json:"revision"`
-}
-
 // Follower keeps a box at the newest configuration it has heard of, from the
 // store or from peers. It never goes back.
 type Follower struct {
@@ -35,8 +29,10 @@
 	store  sandbarrow.Store
 	view   atomic.Pointer[View]
 
-	mu       sync.Mutex
-	changed  chan struct{}
+	mu      sync.Mutex
+	changed chan struct{}
+	// refused is the mark of the last configuration refused with ErrReverts.
+	refused  Mark
 	snapshot Snapshot
 }
 
@@ -58,7 +54,14 @@
 	if v == nil {
 		return Mark{}
 	}
-	return Mark{Digest: v.Digest, Revision: v.Revision}
+	return Mark{Digest: v.Digest, Era: v.Era, Revision: v.Revision}
+}
+
+// MayLack reports whether the peer's configuration may be newer than the one in force.
+func (f *Follower) MayLack(peer Mark) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return peer != f.refused && peer.maySupersede(f.snapshot.mark())
 }
 
 // Offer puts a snapshot in force unless it is invalid or would revert.
@@ -66,12 +69,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	current := f.snapshot.Head
-	if s.Head.Revision == current.Revision && s.Head.Digest == current.Digest {
+	same := s.Head.Revision == current.Revision && s.Head.Digest == current.Digest
+	if same && s.Era <= f.snapshot.Era {
 		return nil
 	}
-	if s.Head.Revision <= current.Revision {
-		return errors.Annotatef(ErrReverts, "revision %d digest %.8s, in force is %d digest %.8s",
-			s.Head.Revision, s.Head.Digest, current.Revision, current.Digest)
+	if same {
+		s.Shards = f.snapshot.Shards // rewritten after a restore of the store
+	} else if !s.supersedes(f.snapshot) {
+		f.refused = s.mark()
+		return errors.Annotatef(ErrReverts, "revision %d era %d digest %.8s, in force is %d era %d digest %.8s",
+			s.Head.Revision, s.Era, s.Head.Digest, current.Revision, f.snapshot.Era, current.Digest)
 	}
 	v, err := NewView(s)
 	if err != nil {
@@ -81,7 +88,7 @@
 	f.view.Store(v)
 	close(f.changed)
 	f.changed = make(chan struct{})
-	f.logger.Info("configuration in force", "revision", v.Revision, "digest", string(v.Digest))
+	f.logger.Info("configuration in force", "revision", v.Revision, "digest", string(v.Digest), "era", uint64(v.Era))
 	return nil
 }
 
@@ -92,10 +99,14 @@
 		began := time.Now()
 		item, err := f.store.Watch(ctx, HeadKey, seen)
 		if err == nil {
-			if err = f.take(ctx, item.Value); err == nil || errors.Is(err, ErrInvalid) || errors.Is(err, ErrReverts) {
+			if err = f.take(ctx, item); err == nil || errors.Is(err, ErrInvalid) || errors.Is(err, ErrReverts) {
 				seen = item.Revision
 			}
 		}
+		if errors.Is(err, ErrReverts) {
+			f.logger.Info("older configuration ignored", "error", err.Error())
+			continue
+		}
 		if err == nil || errors.Is(err, sandbarrow.ErrStoreNotFound) || ctx.Err() != nil {
 			continue
 		}
@@ -105,17 +116,18 @@
 	return nil
 }
 
-func (f *Follower) take(ctx context.Context, value []byte) error {
-	h, err := decodeHead(value)
+func (f *Follower) take(ctx context.Context, item sandbarrow.Item) error {
+	h, err := decodeHead(item.Value)
 	if err != nil {
 		return err
 	}
-	if h.Revision <= f.Mark().Revision {
-		return f.Offer(Snapshot{Head: h})
-	}
-	s, err := ReadSnapshot(ctx, f.store, h, f.Snapshot().Shards)
-	if err != nil {
-		return err
+	current := f.Snapshot()
+	s := Snapshot{Era: item.Revision.Era(), Head: h}
+	if s.supersedes(current) {
+		if s, err = ReadSnapshot(ctx, f.store, h, current.Shards); err != nil {
+			return err
+		}
+		s.Era = item.Revision.Era()
 	}
 	return f.Offer(s)
 }
--- a/config/shards.go
+++ b/config/shards.go
@@ -41,10 +41,16 @@
 
 // Snapshot is a head with all its shards, as boxes hold and exchange it.
 type Snapshot struct {
+	// Era is the store's era when the head was read.
+	Era    sandbarrow.StoreEra          `json:"era,omitempty"`
 	Head   Head                         `json:"head"`
 	Shards map[sandbarrow.Digest][]byte `json:"shards"`
 }
 
+func (s *Snapshot) mark() Mark {
+	return Mark{Digest: s.Head.Digest, Era: s.Era, Revision: s.Head.Revision}
+}
+
 func shardKey(d sandbarrow.Digest) string {
 	return "config/shards/" + string(d)
 }
--- a/config/view.go
+++ b/config/view.go
@@ -36,6 +36,7 @@
 type View struct {
 	Digest   sandbarrow.Digest
 	Document *Document
+	Era      sandbarrow.StoreEra
 	Revision sandbarrow.Revision
 
 	adapters map[sandbarrow.AdapterID]*Adapter
@@ -58,6 +59,7 @@
 	v := &View{
 		Digest:   s.Head.Digest,
 		Document: d,
+		Era:      s.Era,
 		Revision: s.Head.Revision,
 		adapters: make(map[sandbarrow.AdapterID]*Adapter, len(d.Adapters)),
 		callers:  map[sandbarrow.Digest]*Caller{},
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -228,7 +228,7 @@
 		f.SetResident(p.index, hashes)
 	}
 	f.SetAvailable(p.index, !s.Draining && !s.Unready && !p.entry.isDraining(p.box.ID))
-	if s.Config.Revision > p.entry.follower.Mark().Revision {
+	if p.entry.follower.MayLack(s.Config) {
 		go p.pull(ctx, s)
 	}
 }
--- a/entry/places.go
+++ b/entry/places.go
@@ -15,12 +15,12 @@
 }
 
 // placeCache keeps which upstreams each policy permits, for one configuration
-// revision and one membership of the fleet.
+// and one membership of the fleet.
 type placeCache struct {
-	mu       sync.Mutex
-	epoch    int
-	revision sandbarrow.Revision
-	sets     map[placeKey]*sandbarrow.IndexSet
+	mu    sync.Mutex
+	epoch int
+	sets  map[placeKey]*sandbarrow.IndexSet
+	view  *config.View
 }
 
 // permitted returns the upstreams where a policy lets a class run.
@@ -28,8 +28,8 @@
 	count, epoch := f.Members()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.sets == nil || c.revision != v.Revision || c.epoch != epoch {
-		c.sets, c.revision, c.epoch = map[placeKey]*sandbarrow.IndexSet{}, v.Revision, epoch
+	if c.sets == nil || c.view != v || c.epoch != epoch {
+		c.sets, c.view, c.epoch = map[placeKey]*sandbarrow.IndexSet{}, v, epoch
 	}
 	if set, ok := c.sets[key]; ok {
 		return set, nil
--- a/wire/peerconfig.go
+++ b/wire/peerconfig.go
@@ -10,10 +10,10 @@
 	"sandbarrow.example/sandbarrow/config"
 )
 
-// PullConfig brings a follower to the peer's configuration if the peer's mark
-// is newer. It is how a box that starts in an outage of the store catches up.
+// PullConfig brings a follower to the peer's configuration if, by the peer's mark, that may
+// be newer. It is how a box that starts in an outage of the store catches up.
 func PullConfig(ctx context.Context, rpc *jsonrpc2.Conn, f *config.Follower, peer config.Mark) error {
-	if peer.Revision <= f.Mark().Revision {
+	if !f.MayLack(peer) {
 		return nil
 	}
 	known := f.Snapshot().Shards
@@ -49,5 +49,5 @@
 			shards[digest] = value
 		}
 	}
-	return ConfigReply{Snapshot: config.Snapshot{Head: s.Head, Shards: shards}}
+	return ConfigReply{Snapshot: config.Snapshot{Era: s.Era, Head: s.Head, Shards: shards}}
 }
