Rewrite claims that the store has lost

A once-only request could run twice: its claim was gone after the store was restored from an older copy, and the next attempt found none. Each process rewrites the claims that it made in the last 20 s, and permits no new attempt for 2 s after it has detected a restore. TestClaimSurvivesStoreRestore and TestNewClaimWaitsForRewriteOfLostClaims permit a second run without that.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -146,6 +146,7 @@
 	g, work := errgroup.WithContext(work)
 	g.Go(func() error { return a.accept(work) })
 	g.Go(func() error { return a.configLoop(work) })
+	g.Go(func() error { return a.claimer.Run(work) })
 	g.Go(func() error { return a.follower.Run(work) })
 	g.Go(func() error { return a.tickLoop(work) })
 	g.Go(func() error { return a.statusLoop(work) })
--- a/claim/storeclaimer.go
+++ b/claim/storeclaimer.go
@@ -75,11 +75,14 @@
 	pruned    time.Time
 	lease     sandbarrow.LeaseID
 	leaseEnds time.Time
+	// recent holds the claims written within recentRetention.
+	recent       map[sandbarrow.RequestID]recentClaim
+	recentPruned time.Time
 }
 
 // NewStore returns a claimer over the platform's store.
 func NewStore(s sandbarrow.Store) *Store {
-	return &Store{abandoned: map[string]time.Time{}, store: s}
+	return &Store{abandoned: map[string]time.Time{}, recent: map[sandbarrow.RequestID]recentClaim{}, store: s}
 }
 
 // Release voids an attempt whose start was claimed under c.Token but that
@@ -104,7 +107,28 @@
 // Start claims the right to run an attempt now.
 func (s *Store) Start(ctx context.Context, id sandbarrow.RequestID, c sandbarrow.Claim) error {
 	c.State = sandbarrow.ClaimStarted
-	err := s.settle(ctx, id, c, func(standing *sandbarrow.Claim) error {
+	err := s.settle(ctx, id, c, s.permitStart(c))
+	if errors.Is(err, ErrStore) {
+		// A lost write may still land. It must not stand as a run of ours.
+		s.abandon(c.Token)
+	}
+	return err
+}
+
+// Void forbids the attempts up to c.Attempt and returns the record that stands.
+func (s *Store) Void(ctx context.Context, id sandbarrow.RequestID, c sandbarrow.Claim) (sandbarrow.Claim, error) {
+	c.State = sandbarrow.ClaimVoided
+	stands := c
+	err := s.settle(ctx, id, c, permitVoid(c, &stands))
+	if errors.Is(err, errStands) {
+		err = nil
+	}
+	return stands, err
+}
+
+// permitStart returns the check whether an attempt may start, given the record that stands.
+func (s *Store) permitStart(c sandbarrow.Claim) func(*sandbarrow.Claim) error {
+	return func(standing *sandbarrow.Claim) error {
 		switch {
 		case standing == nil:
 			return nil
@@ -116,32 +140,22 @@
 			return &standingError{kind: ErrVoided, record: *standing}
 		}
 		return nil
-	})
-	if errors.Is(err, ErrStore) {
-		// A lost write may still land. It must not stand as a run of ours.
-		s.abandon(c.Token)
 	}
-	return err
 }
 
-// Void forbids the attempts up to c.Attempt and returns the record that stands.
-func (s *Store) Void(ctx context.Context, id sandbarrow.RequestID, c sandbarrow.Claim) (sandbarrow.Claim, error) {
-	c.State = sandbarrow.ClaimVoided
-	stands := c
-	err := s.settle(ctx, id, c, func(standing *sandbarrow.Claim) error {
+// permitVoid returns the check whether the attempts up to c.Attempt may be voided, given the record that
+// stands. If they may not, the check copies that record to stands.
+func permitVoid(c sandbarrow.Claim, stands *sandbarrow.Claim) func(*sandbarrow.Claim) error {
+	return func(standing *sandbarrow.Claim) error {
 		if standing == nil {
 			return nil
 		}
 		if standing.State == sandbarrow.ClaimStarted || standing.Attempt >= c.Attempt {
-			stands = *standing
+			*stands = *standing
 			return errStands
 		}
 		return nil
-	})
-	if errors.Is(err, errStands) {
-		err = nil
 	}
-	return stands, err
 }
 
 // permitOverAbandoned decides over a claim of ours that never ran. It may have
@@ -158,9 +172,20 @@
 // errStands ends a settle with the standing record.
 const errStands = errors.ConstError("claim: another record stands")
 
-// settle writes c if permit accepts the record that stands. A lost reply is
-// settled by reading back: c.Token is ours alone.
+// settle writes c if permit accepts the record that stands, and records it for rewriting after a restore
+// of the store.
 func (s *Store) settle(ctx context.Context, id sandbarrow.RequestID, c sandbarrow.Claim, permit func(*sandbarrow.Claim) error) error {
+	s.awaitRewrite(ctx)
+	err := s.write(ctx, id, c, permit)
+	if err == nil {
+		s.recordWritten(id, c)
+	}
+	return err
+}
+
+// write writes c if permit accepts the record that stands. A lost reply is
+// settled by reading back: c.Token is ours alone.
+func (s *Store) write(ctx context.Context, id sandbarrow.RequestID, c sandbarrow.Claim, permit func(*sandbarrow.Claim) error) error {
 	value, err := json.Marshal(c)
 	if err != nil {
 		return errors.Trace(err)
--- a/decide.go
+++ b/decide.go
@@ -99,6 +99,8 @@
 type Claimer interface {
 	// Release voids an attempt whose start was claimed but that never ran.
 	Release(ctx context.Context, id RequestID, c Claim) error
+	// Run rewrites claims that the platform's store has lost, until ctx ends.
+	Run(ctx context.Context) error
 	// Start records that an attempt starts now. Only a nil error permits it.
 	Start(ctx context.Context, id RequestID, c Claim) error
 	// Void forbids all attempts up to c.Attempt, unless one has started, and
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -115,6 +115,7 @@
 	server := e.server()
 	g, work := errgroup.WithContext(work)
 	e.work = work
+	g.Go(func() error { return e.claimer.Run(work) })
 	g.Go(func() error { return e.follower.Run(work) })
 	g.Go(func() error { return e.configLoop(work) })
 	g.Go(func() error { return e.peerLoop(work) })
