--- a/gateway/call.go
+++ b/gateway/call.go
@@ -88,7 +88,7 @@
 	if !c.takeQuota(ctx) {
 		return
 	}
-	g.budget(c.service.ID).Request()
+	g.retryBudget(c.service.ID).Request()
 	if c.service.Engine != nil {
 		c.serveEngine(ctx)
 		return
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -6,6 +6,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/internal/boottime"
+	"sandbarrow.example/sandbarrow/loadtime"
 )
 
 // need is what the choice of an engine depends on, of one request.
@@ -20,7 +21,7 @@
 	// untilObjective is how much time is left for an answer that meets its objective.
 	untilObjective time.Duration
 	// loads returns what is known of the weight store, for so many loads under way.
-	loads func(underWay int) loadModel
+	loads func(underWay int) loadtime.Model
 }
 
 // chooseEngine returns the engine with the least expected delay, or nil. It takes
@@ -31,7 +32,7 @@
 	now := boottime.Now()
 	list := g.eligible(c, now, excluded, (*scratch)[:0])
 	*scratch = list
-	n := need{key: c.key, version: c.version, tokens: c.tokens, loads: g.weights.choice, movePerToken: c.service.Engine.MovePerToken, untilObjective: c.untilObjective()}
+	n := need{key: c.key, version: c.version, tokens: c.tokens, loads: g.loadTimes.Choice, movePerToken: c.service.Engine.MovePerToken, untilObjective: c.untilObjective()}
 	best, ok := cheapest(list, &n)
 	if !ok {
 		return nil
--- a/gateway/choose_test.go
+++ b/gateway/choose_test.go
@@ -105,7 +105,7 @@
 	var last enginelink.Loads
 	for n := range 10 {
 		now := enginelink.Loads{Count: uint64(n + 1), TookMS: 260}
-		g.weights.learn(last, now)
+		g.learnLoads(last, now)
 		last = now
 	}
 	e = g.chooseEngine(c, nil)
--- a/gateway/controllerlink.go
+++ b/gateway/controllerlink.go
@@ -108,10 +108,17 @@
 		return errors.Annotate(err, enginelink.MethodStatus)
 	}
 	full, before := l.applyStatus(s)
-	l.gateway.weights.learn(before, full.Loads)
+	l.gateway.learnLoads(before, full.Loads)
 	return nil
 }
 
+// learnLoads follows the loads that a controller reports: last is what it reported before.
+func (g *Gateway) learnLoads(last, now enginelink.Loads) {
+	if now.Count != last.Count {
+		g.loadTimes.Learn(time.Duration(now.TookMS) * time.Millisecond)
+	}
+}
+
 // lost marks the link as down.
 func (l *controllerLink) lost(how string) {
 	l.mu.Lock()
--- a/gateway/enginecost.go
+++ b/gateway/enginecost.go
@@ -6,6 +6,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/loadtime"
 	"sandbarrow.example/sandbarrow/readspeed"
 )
 
@@ -114,10 +115,10 @@
 //
 // Inputs: the engines that hold the adapter or can recall it, the loads under way at all
 // engines that were seen, and what loads have shown of the weight store.
-func surveyOf(copies, loading int, m loadModel) fleetSurvey {
-	f := fleetSurvey{loadDelay: m.delay(loading)}
+func surveyOf(copies, loading int, m loadtime.Model) fleetSurvey {
+	f := fleetSurvey{loadDelay: m.Delay(loading)}
 	if copies > 0 {
-		f.copyDelay = time.Duration(float64(copyDelay) * min(m.slowdown(loading), mostContention))
+		f.copyDelay = time.Duration(float64(copyDelay) * min(m.Slowdown(loading), mostContention))
 	}
 	return f
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,6 +36,7 @@
 	"sandbarrow.example/sandbarrow/estate"
 	"sandbarrow.example/sandbarrow/forward"
 	"sandbarrow.example/sandbarrow/internal/boottime"
+	"sandbarrow.example/sandbarrow/loadtime"
 	"sandbarrow.example/sandbarrow/prefixwatch"
 	"sandbarrow.example/sandbarrow/retry"
 )
@@ -93,6 +94,7 @@
 // Gateway serves callers.
 type Gateway struct {
 	config    Config
+	budgets   *retry.ServiceBudgets
 	crashes   *crash.Log
 	directory *directory.Directory
 	ends      *upstreamEnds
@@ -100,32 +102,31 @@
 	estate    *estate.Estate
 	leads     *quotaLeads
 	list      *listAnswer
+	loadTimes *loadtime.Estimator
 	logger    *slog.Logger
 	metrics   *metrics
 	permits   *sendPermits
 	started   time.Time
 	stopping  atomic.Pointer[time.Time]
 	upstreams *upstreams
-	weights   *weightStore
 
-	mu      sync.Mutex
-	budgets map[sandbarrow.ServiceID]*retry.Budget
-	pools   map[sandbarrow.InstanceID]*forward.Pool
+	mu    sync.Mutex
+	pools map[sandbarrow.InstanceID]*forward.Pool
 }
 
 // New returns a gateway; Run starts it.
 func New(c Config) *Gateway {
 	g := &Gateway{
-		budgets:   map[sandbarrow.ServiceID]*retry.Budget{},
+		budgets:   retry.NewServiceBudgets(c.RetryShare, c.RetrySlack),
 		config:    c,
 		crashes:   crash.NewLog(boottime.Now),
 		directory: directory.New(c.Instances, c.Logger),
 		estate:    estate.New(c.Documents, c.Logger),
+		loadTimes: loadtime.NewEstimator(),
 		logger:    c.Logger,
 		metrics:   newMetrics(c.Metrics),
 		started:   boottime.Now(),
 		pools:     map[sandbarrow.InstanceID]*forward.Pool{},
-		weights:   newWeightStore(),
 	}
 	g.engines = newEngines(g)
 	g.ends = newUpstreamEnds(g)
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -19,6 +19,7 @@
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
 	"sandbarrow.example/sandbarrow/internal/boottime"
+	"sandbarrow.example/sandbarrow/retry"
 	"sandbarrow.example/sandbarrow/route"
 )
 
@@ -127,18 +128,19 @@
 
 func TestRetryAllowanceIsShared(t *testing.T) {
 	g := newLoneGateway()
-	assert.Equal(t, g.retryBurst(), float64(unknownBurst))
+	burst := func() float64 { return retry.BurstOf(g.config.RetrySlack, g.engines.gateways()) }
+	assert.Equal(t, burst(), float64(retry.UnknownBurst))
 	status := enginelink.Status{Gateways: 10, Models: []sandbarrow.BaseModelID{testModel}}
 	g.engines.links["a"] = &controllerLink{gateway: g, linkState: linkState{lastContact: boottime.Now(), rpc: &jsonrpc2.Conn{}, status: status}}
-	assert.Assert(t, math.Abs(g.retryBurst()-4.2) < 1e-9)
+	assert.Assert(t, math.Abs(burst()-4.2) < 1e-9)
 	taken := 0
-	b := g.budget("s")
+	b := g.retryBudget("s")
 	for b.Retry() {
 		taken++
 	}
 	assert.Equal(t, taken, 1, "a gateway that starts has not saved up all")
 	for range 100 {
-		g.budget("s").Request()
+		g.retryBudget("s").Request()
 	}
 	for b.Retry() {
 		taken++
@@ -152,8 +154,8 @@
 	status := enginelink.Status{Gateways: 1000, Models: []sandbarrow.BaseModelID{testModel}}
 	g.engines.links["a"] = &controllerLink{gateway: g, linkState: linkState{lastContact: boottime.Now(), rpc: &jsonrpc2.Conn{}, status: status}}
 	for range 100 {
-		g.budget("s").Request()
+		g.retryBudget("s").Request()
 	}
-	assert.Assert(t, g.budget("s").Retry())
-	assert.Assert(t, !g.budget("s").Retry())
+	assert.Assert(t, g.retryBudget("s").Retry())
+	assert.Assert(t, !g.retryBudget("s").Retry())
 }
--- a/gateway/retryrule.go
+++ b/gateway/retryrule.go
@@ -4,13 +4,15 @@
 	"net/http"
 	"time"
 
+	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/forward"
+	"sandbarrow.example/sandbarrow/retry"
 	"sandbarrow.example/sandbarrow/route"
 )
 
 // This file answers when a request may be sent again, what the end of an attempt
 // means for its call, and with which status a call is given up. The rules are pure
-// functions; the budget that bounds retries is in retrybudget.go.
+// functions; package retry has the budgets that bound retries.
 
 // leastSend is the least time before a call's end in which a request is still sent: less would not
 // suffice for an answer.
@@ -57,7 +59,7 @@
 	case sendNever:
 		return false
 	}
-	return c.gateway.budget(c.service.ID).Retry()
+	return c.gateway.retryBudget(c.service.ID).Retry()
 }
 
 // verdict says how an attempt at an engine ended.
@@ -139,3 +141,8 @@
 func (c *call) notRun(a *forward.Answer) bool {
 	return a.Status == http.StatusMisdirectedRequest || a.Header.Get(c.gateway.config.Headers.NotRun) != ""
 }
+
+// retryBudget is the budget of a service at this gateway now.
+func (g *Gateway) retryBudget(id sandbarrow.ServiceID) *retry.Budget {
+	return g.budgets.Budget(id, g.engines.gateways())
+}
--- a/gateway/loadmodel_test.go
+++ b/loadtime/loadtime_test.go
@@ -1,4 +1,4 @@
-package gateway
+package loadtime
 
 import (
 	"math/rand/v2"
@@ -16,27 +16,27 @@
 	}
 }
 
-func TestLoadModelLearnsWhatTheStoreCarries(t *testing.T) {
+func TestModelLearnsWhatTheStoreCarries(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		alone := time.Duration(rapid.IntRange(120, 600).Draw(t, "alone")) * time.Millisecond
 		carries := rapid.IntRange(4, 200).Draw(t, "carries")
 		took := storeOf(alone, carries)
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
-		m := newLoadModel()
+		m := NewModel()
 		for range 800 {
 			underWay := 1 + random.IntN(3*carries)
-			m.observe(took(underWay), underWay)
+			m.Observe(took(underWay), underWay)
 		}
-		assert.Check(t, m.carried > 0.7*float64(carries) && m.carried < 1.4*float64(carries), "carries %d, learnt %.1f", carries, m.carried)
-		assert.Check(t, float64(m.alone) < 1.1*float64(alone) && float64(m.alone) > 0.9*float64(alone), "alone %v, learnt %v", alone, m.alone)
+		assert.Check(t, m.Carried > 0.7*float64(carries) && m.Carried < 1.4*float64(carries), "carries %d, learnt %.1f", carries, m.Carried)
+		assert.Check(t, float64(m.Alone) < 1.1*float64(alone) && float64(m.Alone) > 0.9*float64(alone), "alone %v, learnt %v", alone, m.Alone)
 		few := max(1, carries/2)
-		assert.Check(t, m.delay(few) < alone*13/10, "%v beside %d", m.delay(few), few)
+		assert.Check(t, m.Delay(few) < alone*13/10, "%v beside %d", m.Delay(few), few)
 	})
 }
 
 // A load that shows nothing changes nothing.
-func TestLoadModelIgnoresNoTime(t *testing.T) {
-	m := newLoadModel()
-	m.observe(0, 5)
-	assert.Equal(t, m, newLoadModel())
+func TestModelIgnoresNoTime(t *testing.T) {
+	m := NewModel()
+	m.Observe(0, 5)
+	assert.Equal(t, m, NewModel())
 }
