Ask peers for lost changes only after a restore of the store

Each gateway asked all peers once more at its start where the store names an era, since the first era it saw counted as a later one. A gateway that starts has asked them already.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -75,12 +75,16 @@
 // lost, and while the store has not confirmed the list for some time.
 func (g *Gateway) learnFromPeers(ctx context.Context) error {
 	var era sandbarrow.StoreEra
+	eraKnown := false
 	for ctx.Err() == nil {
 		known := g.estate.View() != nil && g.directory.View() != nil
 		current := g.directory.Mark().Era()
 		switch {
 		case !known:
 			pause.For(ctx, peerPause)
+		case !eraKnown:
+			era, eraKnown = current, true
+			continue
 		case current > era:
 			era = current
 		case g.directory.Age() < listTimeout:
