Obey the evacuation of a failure domain

Cause: an evacuation was acknowledged as a change of the operators' state that nothing read.

The estate now follows evacuations beside the table and the versions: they begin with a key and end with its removal, which is kept as an item so that peers learn of it, a complete read that lacks the key ends them, and a restore of the store from an older copy does not. Package availability answers that no request may go to an upstream of an evacuated domain, at the choice and once more before the request is written; waits for an adapter there are cancelled, a controller there refuses what waits and what comes. Requests that run are not touched. If all domains that could serve a request are evacuated, it is refused at once, with a Retry-After of about a second.

--- a/availability/table.go
+++ b/availability/table.go
@@ -16,6 +16,8 @@
 	// Draining means that the upstream will exit soon, according to the list, its controller or its own
 	// notice.
 	Draining Reason = "draining"
+	// Evacuated means that the operators have evacuated the upstream's failure domain.
+	Evacuated Reason = "evacuated"
 	// Limited means that the upstream has received as many requests as its limit allows.
 	Limited Reason = "limit"
 	// Replaced means that the engine has restarted and the list does not show it yet. The engine
@@ -36,6 +38,16 @@
 	Unreachable bool
 }
 
+// Upstream is what other processes have reported about an upstream.
+type Upstream struct {
+	// Evacuated says that the operators have evacuated the upstream's failure domain.
+	Evacuated bool
+	// Instance is the upstream's entry in the list, or nil if it was removed from the list.
+	Instance *sandbarrow.Instance
+	// Report is the last report of its controller.
+	Report Report
+}
+
 // Check is the result of checking an upstream for a request.
 type Check struct {
 	// Blocked is why the upstream accepts no requests now; empty if it accepts them.
@@ -60,15 +72,18 @@
 
 // Check decides whether a request may be sent to an upstream now, and otherwise when.
 //
-// Inputs: the upstream's entry in the list, the last report of its controller, and the state of
-// this table.
-func (t *Table) Check(now time.Time, in *sandbarrow.Instance, r Report) Check {
+// Inputs: what others have reported about the upstream, which is listed, and the state of this
+// table.
+func (t *Table) Check(now time.Time, u Upstream) Check {
+	in, r := u.Instance, u.Report
 	wait, limitPenalty := t.Gates.Check(now, in.ID)
 	backoff := t.Notices.Check(now, in.ID).Backoff
 	result := Check{Limited: limitPenalty != 0, Penalty: limitPenalty}
 	switch {
 	case r.Draining || t.Notices.drains(now, in):
 		result.Blocked = Draining
+	case u.Evacuated:
+		result.Blocked = Evacuated
 	case r.Unreachable:
 		result.Blocked = Unreachable
 	case r.Instance != "" && r.Instance != in.ID:
@@ -87,15 +102,17 @@
 // Accepts decides whether a request that chose an upstream a while ago may still be sent there. If
 // not, it returns the reason.
 //
-// Inputs: the upstream's current entry in the list, nil if it was removed, and its notices. Its
-// limit is not checked here, but by the coordinator that grants the send.
-func (t *Table) Accepts(now time.Time, listed *sandbarrow.Instance) (Reason, bool) {
+// Inputs: what others have reported about the upstream by now, and its notices. Its limit is not
+// checked here, but by the coordinator that grants the send.
+func (t *Table) Accepts(now time.Time, u Upstream) (Reason, bool) {
 	switch {
-	case listed == nil:
+	case u.Instance == nil:
 		return Unlisted, false
-	case t.Notices.drains(now, listed):
+	case t.Notices.drains(now, u.Instance):
 		return Draining, false
-	case t.Notices.Check(now, listed.ID).Backoff > 0:
+	case u.Evacuated:
+		return Evacuated, false
+	case t.Notices.Check(now, u.Instance.ID).Backoff > 0:
 		return Backoff, false
 	}
 	return "", true
--- a/availability/table_test.go
+++ b/availability/table_test.go
@@ -16,28 +16,29 @@
 	ready := &sandbarrow.Instance{ID: upstream}
 	draining := &sandbarrow.Instance{Draining: true, ID: upstream}
 	for name, c := range map[string]struct {
-		in     *sandbarrow.Instance
-		report Report
-		setup  func(*Table)
-		want   Check
+		upstream Upstream
+		setup    func(*Table)
+		want     Check
 	}{
-		"nothing known":        {ready, Report{}, nil, Check{}},
-		"linked":               {ready, Report{Instance: upstream}, nil, Check{}},
-		"listed as draining":   {draining, Report{}, nil, Check{Blocked: Draining}},
-		"reported as draining": {ready, Report{Draining: true}, nil, Check{Blocked: Draining}},
-		"drain notice": {ready, Report{}, func(x *Table) {
+		"nothing known":        {Upstream{Instance: ready}, nil, Check{}},
+		"linked":               {Upstream{Instance: ready, Report: Report{Instance: upstream}}, nil, Check{}},
+		"listed as draining":   {Upstream{Instance: draining}, nil, Check{Blocked: Draining}},
+		"reported as draining": {Upstream{Instance: ready, Report: Report{Draining: true}}, nil, Check{Blocked: Draining}},
+		"evacuated":            {Upstream{Evacuated: true, Instance: ready, Report: Report{Instance: upstream}}, nil, Check{Blocked: Evacuated}},
+		"evacuated, draining":  {Upstream{Evacuated: true, Instance: draining}, nil, Check{Blocked: Draining}},
+		"drain notice": {Upstream{Instance: ready}, func(x *Table) {
 			x.Notices.Apply(now, upstream, http.StatusOK, sandbarrow.UpstreamNotice{Draining: true})
 		}, Check{Blocked: Draining}},
-		"drain notice of another instance": {ready, Report{}, func(x *Table) {
+		"drain notice of another instance": {Upstream{Instance: ready}, func(x *Table) {
 			x.Notices.Apply(now, restarted, http.StatusOK, sandbarrow.UpstreamNotice{Draining: true})
 		}, Check{}},
-		"backoff": {ready, Report{}, func(x *Table) {
+		"backoff": {Upstream{Instance: ready}, func(x *Table) {
 			x.Notices.Apply(now, upstream, http.StatusServiceUnavailable, sandbarrow.UpstreamNotice{Backoff: time.Second})
 		}, Check{Blocked: Backoff, Wait: time.Second}},
-		"unreachable": {ready, Report{Unreachable: true}, nil, Check{Blocked: Unreachable}},
-		"replaced":    {ready, Report{Instance: restarted}, nil, Check{Blocked: Replaced}},
-		"in flight":   {ready, Report{}, func(x *Table) { x.Outcomes.Begin(now, upstream) }, Check{InFlight: 1}},
-		"limit used up": {ready, Report{}, func(x *Table) {
+		"unreachable": {Upstream{Instance: ready, Report: Report{Unreachable: true}}, nil, Check{Blocked: Unreachable}},
+		"replaced":    {Upstream{Instance: ready, Report: Report{Instance: restarted}}, nil, Check{Blocked: Replaced}},
+		"in flight":   {Upstream{Instance: ready}, func(x *Table) { x.Outcomes.Begin(now, upstream) }, Check{InFlight: 1}},
+		"limit used up": {Upstream{Instance: ready}, func(x *Table) {
 			x.Gates.Apply(now, upstream, throttle.Limit{At: now, Rate: 0.5})
 			x.Gates.Begin(now, upstream)
 		}, Check{Blocked: Limited, Limited: true, Penalty: 100 * time.Millisecond, Wait: 2 * time.Second}},
@@ -46,7 +47,7 @@
 		if c.setup != nil {
 			c.setup(&table)
 		}
-		assert.Equal(t, table.Check(now, c.in, c.report), c.want, name)
+		assert.Equal(t, table.Check(now, c.upstream), c.want, name)
 	}
 }
 
@@ -56,12 +57,14 @@
 	for want, listed := range map[Reason]*sandbarrow.Instance{
 		"": {ID: upstream}, Draining: {Draining: true, ID: upstream}, Unlisted: nil,
 	} {
-		reason, accepts := table.Accepts(now, listed)
+		reason, accepts := table.Accepts(now, Upstream{Instance: listed})
 		assert.Equal(t, reason, want)
 		assert.Equal(t, accepts, want == "")
 	}
+	reason, accepts := table.Accepts(now, Upstream{Evacuated: true, Instance: &sandbarrow.Instance{ID: upstream}})
+	assert.Assert(t, reason == Evacuated && !accepts)
 	table.Notices.Apply(now, upstream, http.StatusOK, sandbarrow.UpstreamNotice{Draining: true})
-	reason, _ := table.Accepts(now, &sandbarrow.Instance{ID: upstream})
+	reason, _ = table.Accepts(now, Upstream{Instance: &sandbarrow.Instance{ID: upstream}})
 	assert.Equal(t, reason, Draining)
 }
 
@@ -71,9 +74,9 @@
 		var table Table
 		table.Notices.Apply(now, id, http.StatusOK, sandbarrow.UpstreamNotice{Draining: true})
 		ready, draining := &sandbarrow.Instance{ID: id}, &sandbarrow.Instance{Draining: true, ID: id}
-		assert.Equal(t, table.Check(now, ready, Report{}).Blocked, Draining, "the list does not show the drain yet")
-		assert.Equal(t, table.Check(now, draining, Report{}).Blocked, Draining)
-		assert.Equal(t, table.Check(now, ready, Report{}).Blocked, Reason(""), "the listed instance is a new one")
+		assert.Equal(t, table.Check(now, Upstream{Instance: ready}).Blocked, Draining, "the list does not show the drain yet")
+		assert.Equal(t, table.Check(now, Upstream{Instance: draining}).Blocked, Draining)
+		assert.Equal(t, table.Check(now, Upstream{Instance: ready}).Blocked, Reason(""), "the listed instance is a new one")
 	}
 }
 
@@ -84,13 +87,13 @@
 	table.Outcomes.Begin(now, upstream)
 	table.Notices.Apply(now, upstream, http.StatusServiceUnavailable, sandbarrow.UpstreamNotice{Backoff: time.Second})
 	table.End(now, upstream, true)
-	reason, accepts := table.Accepts(now, ready)
+	reason, accepts := table.Accepts(now, Upstream{Instance: ready})
 	assert.Assert(t, reason == Backoff && !accepts)
 	now = now.Add(time.Second)
-	_, accepts = table.Accepts(now, ready)
+	_, accepts = table.Accepts(now, Upstream{Instance: ready})
 	assert.Assert(t, accepts)
-	assert.Equal(t, table.Check(now, ready, Report{}), Check{}, "the refusal leaves no penalty")
+	assert.Equal(t, table.Check(now, Upstream{Instance: ready}), Check{}, "the refusal leaves no penalty")
 	table.Outcomes.Begin(now, upstream)
 	table.End(now, upstream, true)
-	assert.Assert(t, table.Check(now, ready, Report{}).Penalty > 0, "a failure without a backoff")
+	assert.Assert(t, table.Check(now, Upstream{Instance: ready}).Penalty > 0, "a failure without a backoff")
 }
--- a/controller/acquire.go
+++ b/controller/acquire.go
@@ -72,6 +72,8 @@
 	switch {
 	case c.reported.Draining:
 		return enginelink.Grant{Refused: enginelink.RefuseDraining}, true
+	case c.isEvacuated():
+		return enginelink.Grant{Refused: enginelink.RefuseEvacuated}, true
 	case c.failedReports >= unreachableAfter:
 		return enginelink.Grant{Refused: enginelink.RefuseUnreachable}, true
 	case !c.hasModel(q.Model):
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -52,6 +52,8 @@
 	Box       sandbarrow.BoxID
 	Control   sandbarrow.EngineControl
 	Documents estate.Documents
+	// Domain is the failure domain of the box.
+	Domain sandbarrow.FailureDomain
 	// Engine is the engine's address.
 	Engine  string
 	Logger  *slog.Logger
@@ -70,6 +72,7 @@
 	// crashes holds the gateways' reports of requests that crash upstreams, for gateways
 	// that link later.
 	crashes *crash.Log
+	domain  sandbarrow.FailureDomain
 	engine  string
 	estate  *estate.Estate
 	// leader is nil if this process leads no quota shards.
@@ -86,7 +89,9 @@
 
 	mu sync.Mutex
 	// backoffUntil is when the engine's backoff ends. Until then it gets no orders.
-	backoffUntil  time.Time
+	backoffUntil time.Time
+	// evacuated is set while the waiting requests have been refused because of an evacuation.
+	evacuated     bool
 	failedReports int
 	// instance identifies the current start of the engine; empty while unknown.
 	instance sandbarrow.InstanceID
@@ -110,7 +115,7 @@
 func New(c Config) *Controller {
 	e := estate.New(c.Documents, c.Logger)
 	k := &Controller{
-		box: c.Box, control: c.Control, crashes: crash.NewLog(boottime.Now), engine: c.Engine, estate: e, limits: enginelink.NewSendCoordinator(1), links: map[*link]bool{}, detachedPins: map[sandbarrow.RequestID]*pin{}, logger: c.Logger,
+		box: c.Box, control: c.Control, crashes: crash.NewLog(boottime.Now), domain: c.Domain, engine: c.Engine, estate: e, limits: enginelink.NewSendCoordinator(1), links: map[*link]bool{}, detachedPins: map[sandbarrow.RequestID]*pin{}, logger: c.Logger,
 		metrics: newMetrics(c.Metrics), now: boottime.Now, published: newPublisher(), service: c.Service, slots: newSlots(evict.NewCost()), store: c.Store,
 		wake: make(chan struct{}, 1),
 		watch: prefixwatch.Watch{
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -28,6 +29,10 @@
 // testDocuments reads a table from the key "table" and versions from all others.
 type testDocuments struct{}
 
+func (testDocuments) EvacuatedDomain(key string) (sandbarrow.FailureDomain, bool) {
+	domain, ok := strings.CutPrefix(key, "evacuate/")
+	return sandbarrow.FailureDomain(domain), ok
+}
 func (testDocuments) IsTable(key string) bool { return key == "table" }
 func (testDocuments) Prefix() string          { return "" }
 func (testDocuments) TableKey() string        { return "table" }
--- a/controller/engineloop.go
+++ b/controller/engineloop.go
@@ -75,6 +75,7 @@
 		c.logger.Info("engine draining")
 		c.slots.refuseAll(c.now(), enginelink.RefuseDraining)
 	}
+	c.refuseIfEvacuated()
 	now := c.now()
 	c.logNewModels(r.Models)
 	c.sequence = r.Sequence
--- a/enginelink/messages.go
+++ b/enginelink/messages.go
@@ -103,6 +103,8 @@
 	// RefuseBusy means that more prompt tokens wait than MaxWaitingTokens allows.
 	RefuseBusy     RefuseReason = "busy"
 	RefuseDraining RefuseReason = "leaving"
+	// RefuseEvacuated means that the operators have evacuated the engine's failure domain.
+	RefuseEvacuated RefuseReason = "evacuated"
 	// RefuseInstance means that the running instance is not the one that the gateway named.
 	RefuseInstance RefuseReason = "instance"
 	// RefuseCanceled means that the gateway has canceled the request in the meantime.
--- a/estate/estate.go
+++ b/estate/estate.go
@@ -1,9 +1,11 @@
-// Package estate follows the operators' state: the table of routes and the named versions of adapters.
+// Package estate follows the operators' state: the table of routes, the named versions of adapters and the
+// evacuated failure domains.
 //
 // Gateways and controllers use it to keep their view of this state. Changes come from the platform's store
 // and from peers. Within one era of the store, the higher revision of a key wins. Across eras, the higher
-// version given by the operators wins. An older state never replaces a newer one. Documents parses the
-// operators' keys. All methods are safe for concurrent use.
+// version given by the operators wins. An older state never replaces a newer one. evacuation.go has the rules
+// for evacuations, the only state that ends with the removal of its key. Documents parses the operators' keys.
+// All methods are safe for concurrent use.
 package estate
 
 import (
@@ -24,6 +26,9 @@
 
 // Documents parses the operators' keys.
 type Documents interface {
+	// EvacuatedDomain returns the failure domain that is evacuated while a key exists. It returns false if the
+	// key is of another kind.
+	EvacuatedDomain(key string) (sandbarrow.FailureDomain, bool)
 	// IsTable reports whether a key holds the table of routes.
 	IsTable(key string) bool
 	// Prefix returns the prefix of the operators' keys.
@@ -45,9 +50,10 @@
 	// InForceSince is when this process applied the table.
 	InForceSince time.Time
 	// Revision is the store revision of the table.
-	Revision sandbarrow.StoreRevision
-	Table    *route.Table
-	versions map[sandbarrow.AdapterKey]sandbarrow.AdapterVersion
+	Revision  sandbarrow.StoreRevision
+	Table     *route.Table
+	evacuated map[sandbarrow.FailureDomain]bool
+	versions  map[sandbarrow.AdapterKey]sandbarrow.AdapterVersion
 }
 
 // MinVersion returns the lowest adapter version that may run a request. This is the newest named version, or 0
@@ -82,7 +88,7 @@
 	confirmation confirmation
 	items        map[string]sandbarrow.KeyItem
 	// latest is the state with all items applied. view stays nil until there is a table; latest also keeps
-	// the versions that were named before that.
+	// the versions and evacuations that were named before that.
 	latest    View
 	watermark Watermark
 }
@@ -140,13 +146,20 @@
 
 // Replace applies a complete read of the prefix from the store.
 func (e *Estate) Replace(items []sandbarrow.KeyItem, at sandbarrow.StoreRevision) {
-	e.Update(items, at)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.updateFromStore(append(items, e.endedEvacuations(items, at)...), at)
 }
 
 // Update applies changes sent by the store, which are complete up to the given revision.
 func (e *Estate) Update(items []sandbarrow.KeyItem, at sandbarrow.StoreRevision) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.updateFromStore(items, at)
+}
+
+// updateFromStore applies items sent by the store. The caller holds mu.
+func (e *Estate) updateFromStore(items []sandbarrow.KeyItem, at sandbarrow.StoreRevision) {
 	e.lastResponse = time.Now()
 	e.merge(fromStore, items, Watermark{Revision: at})
 }
@@ -166,7 +179,7 @@
 	for _, it := range items {
 		known, exists := e.items[it.Key]
 		switch {
-		case it.Deleted: // a deleted key keeps its last value, since an older state must never return
+		case it.Deleted && !e.isEvacuation(it.Key): // the key keeps its last value, since an older state must never return
 		case exists && !e.supersedes(it, known):
 			e.ignoreOlder(from, it, known)
 		default:
@@ -234,6 +247,8 @@
 // item leaves the last valid one in force. The caller holds mu.
 func (e *Estate) compile(from source, items []sandbarrow.KeyItem) {
 	next := e.latest
+	next.evacuated = map[sandbarrow.FailureDomain]bool{}
+	maps.Copy(next.evacuated, e.latest.evacuated)
 	next.versions = map[sandbarrow.AdapterKey]sandbarrow.AdapterVersion{}
 	maps.Copy(next.versions, e.latest.versions)
 	for _, it := range items {
@@ -245,8 +260,12 @@
 	}
 }
 
-// apply applies one item to next: the table, or a named version if it is newer.
+// apply applies one item to next: the table, an evacuation, or a named version if it is newer.
 func (e *Estate) apply(next *View, from source, it sandbarrow.KeyItem) {
+	if domain, ok := e.documents.EvacuatedDomain(it.Key); ok {
+		e.applyEvacuation(next, from, domain, it)
+		return
+	}
 	key, version, err := e.documents.Version(it)
 	switch {
 	case err == nil:
--- a/estate/estate_test.go
+++ b/estate/estate_test.go
@@ -14,9 +14,14 @@
 	"sandbarrow.example/sandbarrow/route"
 )
 
-// documents parses tables whose text is their version. Every other key names an adapter version.
+// documents parses tables whose text is their version. A key that begins with "evacuate/" evacuates
+// a failure domain. Every other key names an adapter version.
 type documents struct{}
 
+func (documents) EvacuatedDomain(key string) (sandbarrow.FailureDomain, bool) {
+	domain, ok := strings.CutPrefix(key, "evacuate/")
+	return sandbarrow.FailureDomain(domain), ok
+}
 func (documents) IsTable(key string) bool { return key == "table" }
 func (documents) Prefix() string          { return "" }
 func (documents) TableKey() string        { return "table" }
--- a/explain/timeline.go
+++ b/explain/timeline.go
@@ -135,6 +135,7 @@
 	"stopping":            "the gateway was stopping, and the stream might not have ended in time",
 	"too-large":           "the request was larger than the operators allow",
 	"upstream-refused":    "every upstream that was tried refused it without running it",
+	"evacuated":           "the operators had evacuated all failure domains with upstreams that could serve it",
 	"limit":               "its workspace had used up its limit: the leaders of both limit shares refused it",
 	"no-quota-leader":     "no leader of its workspace's limit responded in time: check the 'quota shard' lines and the store",
 	"stale-configuration": "the configuration could not be confirmed as the newest for too long: a key might have been revoked",
--- a/gateway/blocked.go
+++ b/gateway/blocked.go
@@ -25,9 +25,9 @@
 	// anyAccepting is set if the last choice found an upstream that accepts requests, whether
 	// the call has already tried it or not.
 	anyAccepting bool
-	// anyDraining is set if the last choice found an upstream that drains, anyNotDraining if it
-	// found one that does not.
-	anyDraining, anyNotDraining bool
+	// anyDraining is set if the last choice found an upstream that drains, anyEvacuated if it found
+	// one in an evacuated failure domain, and anyInService if it found one of neither kind.
+	anyDraining, anyEvacuated, anyInService bool
 	// anyUnlimited is set if the last choice found an untried upstream that accepts requests and
 	// names no limit.
 	anyUnlimited bool
@@ -35,7 +35,7 @@
 
 // reset prepares for a new choice.
 func (b *blockedUpstreams) reset() {
-	b.anyDraining, b.anyAccepting, b.anyUnlimited, b.anyNotDraining = false, false, false, false
+	b.anyAccepting, b.anyDraining, b.anyEvacuated, b.anyInService, b.anyUnlimited = false, false, false, false, false
 }
 
 // record applies the result of a check of an upstream. excluded is set if the call does not
@@ -44,11 +44,15 @@
 	if l.Wait > 0 {
 		b.recordAcceptTime(now.Add(l.Wait), l.Blocked)
 	}
-	if l.Blocked == availability.Draining {
+	switch l.Blocked {
+	case availability.Draining:
 		b.anyDraining = true
 		return
+	case availability.Evacuated:
+		b.anyEvacuated = true
+		return
 	}
-	b.anyNotDraining = true
+	b.anyInService = true
 	if l.Blocked != "" {
 		return
 	}
@@ -67,9 +71,15 @@
 }
 
 // waitIsFutile reports whether the call should not wait for an upstream to appear. This is so if
-// the time at which one accepts requests again is known, or if all of them drain.
+// the time at which one accepts requests again is known, or if all of them drain or are evacuated.
 func (b *blockedUpstreams) waitIsFutile() bool {
-	return !b.acceptsAt.IsZero() || b.anyDraining && !b.anyNotDraining
+	return !b.acceptsAt.IsZero() || (b.anyDraining || b.anyEvacuated) && !b.anyInService
+}
+
+// onlyEvacuated reports whether upstreams of evacuated failure domains are the only ones that do not
+// drain.
+func (b *blockedUpstreams) onlyEvacuated() bool {
+	return b.anyEvacuated && !b.anyInService
 }
 
 // retryAfter returns the time after which the caller should retry: not before an upstream accepts
--- a/gateway/callend.go
+++ b/gateway/callend.go
@@ -29,18 +29,20 @@
 	// reasonCrashesUpstreams is a request under which upstreams have crashed.
 	reasonCrashesUpstreams reason = "ends-upstreams"
 	reasonCallerLeft       reason = "caller-left"
-	reasonLimit            reason = "limit"
-	reasonNoConfig         reason = "no-configuration"
-	reasonNoLeader         reason = "no-quota-leader"
-	reasonNoRoute          reason = "no-route"
-	reasonOverload         reason = "overload"
-	reasonNoUpstream       reason = "no-upstream"
-	reasonRefused          reason = "upstream-refused"
-	reasonSlots            reason = "no-slot"
-	reasonStale            reason = "stale-configuration"
-	reasonStopping         reason = "stopping"
-	reasonTooLarge         reason = "too-large"
-	reasonUnknownKey       reason = "unknown-key"
+	// reasonEvacuated is a request that only upstreams of evacuated failure domains could serve.
+	reasonEvacuated  reason = "evacuated"
+	reasonLimit      reason = "limit"
+	reasonNoConfig   reason = "no-configuration"
+	reasonNoLeader   reason = "no-quota-leader"
+	reasonNoRoute    reason = "no-route"
+	reasonOverload   reason = "overload"
+	reasonNoUpstream reason = "no-upstream"
+	reasonRefused    reason = "upstream-refused"
+	reasonSlots      reason = "no-slot"
+	reasonStale      reason = "stale-configuration"
+	reasonStopping   reason = "stopping"
+	reasonTooLarge   reason = "too-large"
+	reasonUnknownKey reason = "unknown-key"
 	// reasonUpstreamBackoff is a request for which each remaining upstream is in backoff.
 	reasonUpstreamBackoff reason = "upstream-backoff"
 	// reasonUpstreamLimit is a request for which each remaining upstream has reached its limit.
@@ -82,11 +84,14 @@
 		return
 	}
 	status, why := endStatus(c.ran, late || ctx.Err() != nil, c.unservedReason(why))
-	if why == reasonUpstreamLimit || why == reasonUpstreamBackoff {
+	switch why {
+	case reasonEvacuated:
+		c.refuseWithRetryAfter(status, why, jitter(evacuatedRetryAfter))
+	case reasonUpstreamBackoff, reasonUpstreamLimit:
 		c.refuseWithRetryAfter(status, why, c.blocked.retryAfter(boottime.Now()))
-		return
+	default:
+		c.refuse(status, why)
 	}
-	c.refuse(status, why)
 }
 
 // writeResponse sends a complete response to the caller.
--- a/gateway/callsend.go
+++ b/gateway/callsend.go
@@ -71,11 +71,14 @@
 }
 
 // unservedReason decides the reason for a call that found no upstream. cause is the reason of its
-// last attempt. If upstreams accept a request later, the caller is told when. An upstream that
+// last attempt. If all failure domains with upstreams are evacuated, that is the reason. If
+// upstreams accept a request later, the caller is told when. An upstream that
 // refused this request counts among these only while no upstream accepts requests.
 func (c *call) unservedReason(cause reason) reason {
 	b := &c.blocked
 	switch {
+	case cause == reasonNoUpstream && b.onlyEvacuated():
+		return reasonEvacuated
 	case b.acceptsAt.IsZero(), cause != reasonNoUpstream && cause != reasonRefused, cause == reasonRefused && b.anyAccepting:
 		return cause
 	case b.cause == availability.Backoff:
--- a/gateway/enginesearch.go
+++ b/gateway/enginesearch.go
@@ -39,7 +39,7 @@
 func (s *engineSearch) recordAcquire(id sandbarrow.InstanceID, refused enginelink.RefuseReason) {
 	s.excluded[id] = true
 	switch refused {
-	case enginelink.RefuseBackoff, enginelink.RefuseDraining, enginelink.RefuseInstance, enginelink.RefuseNoModel, enginelink.RefuseUnreachable:
+	case enginelink.RefuseBackoff, enginelink.RefuseDraining, enginelink.RefuseEvacuated, enginelink.RefuseInstance, enginelink.RefuseNoModel, enginelink.RefuseUnreachable:
 		s.refusals++
 	default:
 		s.acquires++
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -57,6 +57,10 @@
 	Workspaces []access.Entry
 }
 
+func (testDocuments) EvacuatedDomain(key string) (sandbarrow.FailureDomain, bool) {
+	domain, ok := strings.CutPrefix(key, "op/evacuate/")
+	return sandbarrow.FailureDomain(domain), ok
+}
 func (testDocuments) IsTable(key string) bool { return key == "op/table" }
 func (testDocuments) Prefix() string          { return "op/" }
 func (testDocuments) TableKey() string        { return "op/table" }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -133,7 +133,7 @@
 	g.exits = newExitDetector(g)
 	g.leaders = newQuotaLeaders(g)
 	g.permits = newSendPermits(g)
-	g.upstreams = &upstreams{gateway: g, waiting: map[sandbarrow.InstanceID]map[*call]func(){}}
+	g.upstreams = &upstreams{gateway: g, waiting: map[sandbarrow.InstanceID]*waits{}}
 	c.Metrics.MustRegister(
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "sandbarrow_gateway_entries_refused_total", Help: "Entries in the list of upstreams that named none.",
@@ -183,6 +183,7 @@
 	}
 	group.Go(func() error { return estateWatch.Run(work) })
 	group.Go(func() error { return g.listWatch().Run(work) })
+	group.Go(func() error { return g.followEvacuations(work) })
 	group.Go(func() error { return g.exits.run(work) })
 	group.Go(func() error { return newCrashSync(g).run(work) })
 	group.Go(func() error { return newCrashStore(g).run(work) })
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -168,7 +168,7 @@
 	}()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer c.gateway.upstreams.cancelWhenBlocked(e.instance.ID, c, cancel)()
+	defer c.gateway.upstreams.cancelWhenBlocked(e.instance, c, cancel)()
 	g, ok := e.link.acquire(ctx, request)
 	if !ok {
 		g.Refused = refuseNoReply
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -23,62 +23,103 @@
 
 	mu    sync.Mutex
 	table availability.Table
-	// waiting holds the calls that wait at an upstream before they send it a request, with the
-	// functions that cancel the waits.
-	waiting map[sandbarrow.InstanceID]map[*call]func()
+	// waiting holds the calls that wait at an upstream before they send it a request.
+	waiting map[sandbarrow.InstanceID]*waits
 }
 
-// cancelWhenBlocked calls stop once an upstream announces that it accepts no requests, so that the
-// call does not wait there in vain. The returned function ends this.
-func (u *upstreams) cancelWhenBlocked(id sandbarrow.InstanceID, c *call, stop func()) (end func()) {
+// waits holds the calls that wait at one upstream, with the functions that cancel the waits.
+type waits struct {
+	cancels map[*call]func()
+	domain  sandbarrow.FailureDomain
+}
+
+// cancelWhenBlocked calls stop once an upstream announces that it accepts no requests, or once its
+// failure domain is evacuated, so that the call does not wait there in vain. The returned function
+// ends this.
+func (u *upstreams) cancelWhenBlocked(in *sandbarrow.Instance, c *call, stop func()) (end func()) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.waiting[id] == nil {
-		u.waiting[id] = map[*call]func(){}
+	w := u.waiting[in.ID]
+	if w == nil {
+		w = &waits{cancels: map[*call]func(){}, domain: in.FailureDomain}
+		u.waiting[in.ID] = w
 	}
-	u.waiting[id][c] = stop
+	w.cancels[c] = stop
 	return func() {
 		u.mu.Lock()
 		defer u.mu.Unlock()
-		delete(u.waiting[id], c)
-		if len(u.waiting[id]) == 0 {
-			delete(u.waiting, id)
+		delete(w.cancels, c)
+		if len(w.cancels) == 0 {
+			delete(u.waiting, in.ID)
 		}
 	}
 }
 
 // cancelWaits cancels the waits at an upstream. The caller holds mu.
 func (u *upstreams) cancelWaits(id sandbarrow.InstanceID) {
-	for _, stop := range u.waiting[id] {
-		stop()
+	if w := u.waiting[id]; w != nil {
+		w.cancelAll()
+	}
+}
+
+// cancelWaitsIn cancels the waits at all upstreams of a failure domain.
+func (u *upstreams) cancelWaitsIn(domain sandbarrow.FailureDomain) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, w := range u.waiting {
+		if w.domain == domain {
+			w.cancelAll()
+		}
+	}
+}
+
+func (w *waits) cancelAll() {
+	for _, cancel := range w.cancels {
+		cancel()
 	}
 }
 
+// describe returns what others have reported about a listed upstream, with the last report of its
+// controller.
+func (u *upstreams) describe(in *sandbarrow.Instance, r availability.Report) availability.Upstream {
+	return availability.Upstream{Evacuated: u.gateway.estate.View().Evacuated(in.FailureDomain), Instance: in, Report: r}
+}
+
+// describeListed returns what is now reported about an upstream that was listed a while ago.
+func (u *upstreams) describeListed(in *sandbarrow.Instance) availability.Upstream {
+	listed := u.gateway.directory.View().Find(in)
+	if listed == nil {
+		return availability.Upstream{}
+	}
+	return u.describe(listed, availability.Report{})
+}
+
 // check decides whether a request may be sent to an upstream now, and if not, when.
 func (u *upstreams) check(now time.Time, in *sandbarrow.Instance, r availability.Report) availability.Check {
+	upstream := u.describe(in, r)
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.table.Check(now, in, r)
+	return u.table.Check(now, upstream)
 }
 
 // accepts decides whether a request that chose an upstream a while ago may still be sent there.
 func (u *upstreams) accepts(in *sandbarrow.Instance) bool {
-	listed := u.gateway.directory.View().Find(in)
+	upstream := u.describeListed(in)
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	_, accepts := u.table.Accepts(boottime.Now(), listed)
+	_, accepts := u.table.Accepts(boottime.Now(), upstream)
 	return accepts
 }
 
 // drains reports whether an upstream drains, by the list or by its own notice.
 func (u *upstreams) drains(in *sandbarrow.Instance) bool {
-	listed := u.gateway.directory.View().Find(in)
-	if listed == nil {
-		listed = in
+	upstream := u.describeListed(in)
+	if upstream.Instance == nil {
+		upstream.Instance = in
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	why, _ := u.table.Accepts(boottime.Now(), listed)
+	why, _ := u.table.Accepts(boottime.Now(), upstream)
 	return why == availability.Draining
 }
 
--- a/gateway/upstreams_test.go
+++ b/gateway/upstreams_test.go
@@ -61,6 +61,16 @@
 	assert.Equal(t, len(r.runs()), 3)
 }
 
+func TestWaitIsCancelledOnceDomainIsEvacuated(t *testing.T) {
+	g := newLoneGateway()
+	stopped := map[string]bool{}
+	for id, domain := range map[sandbarrow.InstanceID]sandbarrow.FailureDomain{"u@1": "a", "v@1": "a", "w@1": "b"} {
+		defer g.upstreams.cancelWhenBlocked(&sandbarrow.Instance{FailureDomain: domain, ID: id}, &call{gateway: g}, func() { stopped[string(id)] = true })()
+	}
+	g.upstreams.cancelWaitsIn("a")
+	assert.DeepEqual(t, stopped, map[string]bool{"u@1": true, "v@1": true})
+}
+
 func TestWaitIsCancelledOnceUpstreamIsBlocked(t *testing.T) {
 	for _, notice := range []sandbarrow.RawNotice{{Draining: "1"}, {Backoff: "1"}} {
 		g := newLoneGateway()
@@ -68,9 +78,9 @@
 		in := &sandbarrow.Instance{ID: "u@1"}
 		stopped := map[string]bool{}
 		waitingCall := &call{gateway: g}
-		end := g.upstreams.cancelWhenBlocked(in.ID, waitingCall, func() { stopped["waiting"] = true })
-		g.upstreams.cancelWhenBlocked(in.ID, &call{gateway: g}, func() { stopped["no longer waiting"] = true })()
-		defer g.upstreams.cancelWhenBlocked("v@1", waitingCall, func() { stopped["at another upstream"] = true })()
+		end := g.upstreams.cancelWhenBlocked(in, waitingCall, func() { stopped["waiting"] = true })
+		g.upstreams.cancelWhenBlocked(in, &call{gateway: g}, func() { stopped["no longer waiting"] = true })()
+		defer g.upstreams.cancelWhenBlocked(&sandbarrow.Instance{ID: "v@1"}, waitingCall, func() { stopped["at another upstream"] = true })()
 		h := http.Header{}
 		platform.UpstreamNotices{}.Write(h, notice)
 		g.upstreams.observeResponse(in, boottime.Now(), &forward.UpstreamResponse{Header: h, Status: http.StatusServiceUnavailable})
--- a/internal/cmd/controllercmd.go
+++ b/internal/cmd/controllercmd.go
@@ -37,7 +37,7 @@
 	k := controller.New(controller.Config{
 		Bound: quota.Bound{Overage: s.Controller.LimitOverage, Slack: s.Controller.LimitSlack, Window: time.Duration(s.Controller.LimitWindow)},
 		Box:   s.Box.ID, Control: platform.NewEngine(s.Controller.Engine, client), Documents: platform.Documents{},
-		Engine: s.Controller.Engine, Logger: d.logger, Metrics: d.registry, Service: s.Controller.Service,
+		Domain: s.Box.FailureDomain, Engine: s.Controller.Engine, Logger: d.logger, Metrics: d.registry, Service: s.Controller.Service,
 		LeaseStore: store, Store: store,
 	})
 	return d.run(c.ctx, "controller", func(ctx context.Context) error {
--- a/quota/leader/leader_test.go
+++ b/quota/leader/leader_test.go
@@ -25,9 +25,10 @@
 // testDecoder decodes tables whose text is the rate of the workspace "red".
 type testDecoder struct{}
 
-func (testDecoder) IsTable(key string) bool { return key == "op/table" }
-func (testDecoder) Prefix() string          { return "op/" }
-func (testDecoder) TableKey() string        { return "op/table" }
+func (testDecoder) EvacuatedDomain(string) (sandbarrow.FailureDomain, bool) { return "", false }
+func (testDecoder) IsTable(key string) bool                                 { return key == "op/table" }
+func (testDecoder) Prefix() string                                          { return "op/" }
+func (testDecoder) TableKey() string                                        { return "op/table" }
 func (testDecoder) Table(text []byte) (*route.Table, error) {
 	var rate float64
 	if err := json.Unmarshal(text, &rate); err != nil {
