Bound the requests that cold upstreams get

Cause: nothing read that an upstream is cold.

The list's entry says how much longer an upstream is cold, the table of routes which rate it accepts until then. Each send is now granted as for a limit that an upstream names: by one of two processes that all gateways ask. The limit of a cold start is kept beside the named one; no response ends it, but the list does, or the time. Cold upstreams are not avoided, they get their rate; what exceeds it goes elsewhere or is refused at once with when the next send is free.

A model test of two coordinators that lose their state and are cut off from gateways stays within 1.5 times the rate and 5 in each second.

--- a/availability/table.go
+++ b/availability/table.go
@@ -40,6 +40,9 @@
 
 // Upstream is what other processes have reported about an upstream.
 type Upstream struct {
+	// ColdRate is the request rate that the upstream accepts from all processes together while it
+	// is cold; 0 means any.
+	ColdRate sandbarrow.RequestRate
 	// Evacuated says that the operators have evacuated the upstream's failure domain.
 	Evacuated bool
 	// Instance is the upstream's entry in the list, or nil if it was removed from the list.
@@ -56,7 +59,7 @@
 	Wait time.Duration
 	// InFlight is the number of this process's requests in flight at the upstream.
 	InFlight int
-	// Limited says that the upstream names a limit.
+	// Limited says that the upstream names a limit or is cold.
 	Limited bool
 	// Penalty is the delay that the upstream's failures and limit count as when upstreams are
 	// compared. It is negative for an upstream whose limit is to be checked again.
@@ -76,9 +79,10 @@
 // table.
 func (t *Table) Check(now time.Time, u Upstream) Check {
 	in, r := u.Instance, u.Report
-	wait, limitPenalty := t.Gates.Check(now, in.ID)
+	t.applyCold(now, &u)
+	gate := t.Gates.Check(now, in.ID)
 	backoff := t.Notices.Check(now, in.ID).Backoff
-	result := Check{Limited: limitPenalty != 0, Penalty: limitPenalty}
+	result := Check{Limited: gate.Limited, Penalty: gate.Penalty}
 	switch {
 	case r.Draining || t.Notices.drains(now, in):
 		result.Blocked = Draining
@@ -90,8 +94,8 @@
 		result.Blocked = Replaced
 	case backoff > 0:
 		result.Blocked, result.Wait = Backoff, backoff
-	case wait > 0:
-		result.Blocked, result.Wait = Limited, wait
+	case gate.Wait > 0:
+		result.Blocked, result.Wait = Limited, gate.Wait
 	}
 	inFlight, penalty := t.Outcomes.Check(now, in.ID)
 	result.InFlight = inFlight
@@ -105,9 +109,11 @@
 // Inputs: what others have reported about the upstream by now, and its notices. Its limit is not
 // checked here, but by the coordinator that grants the send.
 func (t *Table) Accepts(now time.Time, u Upstream) (Reason, bool) {
-	switch {
-	case u.Instance == nil:
+	if u.Instance == nil {
 		return Unlisted, false
+	}
+	t.applyCold(now, &u)
+	switch {
 	case t.Notices.drains(now, u.Instance):
 		return Draining, false
 	case u.Evacuated:
@@ -118,6 +124,11 @@
 	return "", true
 }
 
+// applyCold applies what the list says about a cold start of an upstream.
+func (t *Table) applyCold(now time.Time, u *Upstream) {
+	t.Gates.SetCold(now, u.Instance.ID, throttle.Cold{Rate: throttle.Rate(u.ColdRate), Until: u.Instance.ColdUntil})
+}
+
 // End counts the outcome of a request that Outcomes.Begin has counted. A refusal with a backoff is
 // not counted as a failure: the penalty would outlast the backoff.
 func (t *Table) End(now time.Time, id sandbarrow.InstanceID, failed bool) {
--- a/availability/table_test.go
+++ b/availability/table_test.go
@@ -38,6 +38,15 @@
 		"unreachable": {Upstream{Instance: ready, Report: Report{Unreachable: true}}, nil, Check{Blocked: Unreachable}},
 		"replaced":    {Upstream{Instance: ready, Report: Report{Instance: restarted}}, nil, Check{Blocked: Replaced}},
 		"in flight":   {Upstream{Instance: ready}, func(x *Table) { x.Outcomes.Begin(now, upstream) }, Check{InFlight: 1}},
+		"cold":        {Upstream{ColdRate: 19, Instance: &sandbarrow.Instance{ColdUntil: now.Add(time.Second), ID: upstream}}, nil, Check{Limited: true}},
+		"cold, rate used up": {Upstream{ColdRate: 20, Instance: &sandbarrow.Instance{ColdUntil: now.Add(time.Second), ID: upstream}}, func(x *Table) {
+			x.Gates.SetCold(now, upstream, throttle.Cold{Rate: 20, Until: now.Add(time.Second)})
+			x.Gates.Begin(now, upstream)
+		}, Check{Blocked: Limited, Limited: true, Wait: 50 * time.Millisecond}},
+		"cold without a rate": {Upstream{Instance: &sandbarrow.Instance{ColdUntil: now.Add(time.Second), ID: upstream}}, nil, Check{}},
+		"warm again": {Upstream{ColdRate: 19, Instance: ready}, func(x *Table) {
+			x.Gates.SetCold(now, upstream, throttle.Cold{Rate: 19, Until: now.Add(time.Second)})
+		}, Check{}},
 		"limit used up": {Upstream{Instance: ready}, func(x *Table) {
 			x.Gates.Apply(now, upstream, throttle.Limit{At: now, Rate: 0.5})
 			x.Gates.Begin(now, upstream)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -133,6 +133,9 @@
 // apply stores an entry that is newer than the known one. It reports whether the two differ
 // in more than the heartbeat. The caller holds mu.
 func (d *Directory) apply(id sandbarrow.ListedID, it sandbarrow.KeyItem, instance sandbarrow.Instance) bool {
+	if instance.ColdLeft > 0 {
+		instance.ColdUntil = boottime.Now().Add(instance.ColdLeft)
+	}
 	old, known := d.entries[id]
 	known = known && old.instance.ID.Matches(instance.ID) // after a restart it is a new instance
 	if !known {
@@ -145,7 +148,17 @@
 	_, relisted := d.lapsed[id]
 	delete(d.lapsed, id)
 	d.entries[id] = listed{instance: instance, item: it}
-	return !known || relisted || !sameExceptAdapters(&old.instance, &instance)
+	return !known || relisted || !sameExceptAdapters(&old.instance, &instance) || coldChanged(&old.instance, &instance)
+}
+
+// minColdExtension is by how much the end of a cold start must move to be a change. Two entries of
+// the same cold start differ by less.
+const minColdExtension = time.Second
+
+// coldChanged reports whether a cold start has begun or ended before its time.
+func coldChanged(old, now *sandbarrow.Instance) bool {
+	ended := now.ColdUntil.IsZero() && old.ColdUntil.After(boottime.Now().Add(minColdExtension))
+	return ended || now.ColdUntil.After(old.ColdUntil.Add(minColdExtension))
 }
 
 // RefusedEntries returns how many entries were malformed.
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -15,20 +15,22 @@
 )
 
 // list parses values such as "service address" or "service address leaving". A value may end
-// in @ and the start time of the upstream.
+// in @ and the start time of the upstream, or in # and how many milliseconds it is cold.
 type list struct{}
 
 func (list) Prefix() string                          { return "" }
 func (list) ListedID(key string) sandbarrow.ListedID { return sandbarrow.ListedID(key) }
 func (list) Instance(it sandbarrow.KeyItem) (sandbarrow.Instance, error) {
-	value, startText, _ := strings.Cut(string(it.Value), "@")
+	value, coldText, _ := strings.Cut(string(it.Value), "#")
+	coldMS, _ := strconv.Atoi(coldText)
+	value, startText, _ := strings.Cut(value, "@")
 	started, _ := strconv.ParseInt(startText, 10, 64)
 	parts := strings.Fields(value)
 	if len(parts) < 2 {
 		return sandbarrow.Instance{}, errors.NotValidf("entry")
 	}
 	return sandbarrow.Instance{
-		ID: sandbarrow.NewInstanceID(sandbarrow.ListedID(it.Key), sandbarrow.UnixMillis(started)), Service: sandbarrow.ServiceID(parts[0]), Address: parts[1], Draining: len(parts) > 2,
+		ColdLeft: time.Duration(coldMS) * time.Millisecond, ID: sandbarrow.NewInstanceID(sandbarrow.ListedID(it.Key), sandbarrow.UnixMillis(started)), Service: sandbarrow.ServiceID(parts[0]), Address: parts[1], Draining: len(parts) > 2,
 	}, nil
 }
 
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -51,8 +51,10 @@
 type testDocuments struct{}
 
 type testTable struct {
-	Routes  []route.Route
-	Version uint64
+	// ColdRate is the request rate that cold upstreams accept.
+	ColdRate sandbarrow.RequestRate
+	Routes   []route.Route
+	Version  uint64
 	// Workspaces is nil if callers need no key.
 	Workspaces []access.Entry
 }
@@ -70,8 +72,8 @@
 		return nil, errors.Annotate(route.ErrInvalid, err.Error())
 	}
 	table, err := route.NewTable(t.Version, t.Routes, []route.Service{
-		{ID: testPlain},
-		{ID: testEngines, HealthPath: "/health", Engine: &route.Engine{AdapterSlots: 2, KVCacheTokens: 100_000, Models: []route.Model{{ID: testModel}}, MoveTimePerToken: time.Microsecond}},
+		{ColdRate: t.ColdRate, ID: testPlain},
+		{ColdRate: t.ColdRate, ID: testEngines, HealthPath: "/health", Engine: &route.Engine{AdapterSlots: 2, KVCacheTokens: 100_000, Models: []route.Model{{ID: testModel}}, MoveTimePerToken: time.Microsecond}},
 	}, route.Limits{MaxBodyBytes: 1000, MaxHeaderBytes: 4000})
 	if err == nil && t.Workspaces != nil {
 		table.Keys = access.NewKeys(t.Workspaces)
@@ -265,6 +267,8 @@
 	store     *store.Memory
 	url       string
 	version   uint64
+	// coldRate is the rate of cold upstreams in the next configuration.
+	coldRate sandbarrow.RequestRate
 	// workspaces are those of the next configuration.
 	workspaces []access.Entry
 }
@@ -390,7 +394,7 @@
 func (f *fleet) configure(t *testing.T, routes ...route.Route) {
 	t.Helper()
 	f.version++
-	f.put(t, "op/table", testTable{Routes: routes, Version: f.version, Workspaces: f.workspaces})
+	f.put(t, "op/table", testTable{ColdRate: f.coldRate, Routes: routes, Version: f.version, Workspaces: f.workspaces})
 	eventually(t, func() bool {
 		v := f.gateway.estate.View()
 		return v != nil && v.Table.Version == f.version && f.gateway.Ready() && f.linked()
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -18,7 +18,7 @@
 // upstreams is the state of upstreams beyond what the list contains. It is safe for concurrent use.
 type upstreams struct {
 	gateway *Gateway
-	// limits is set if any limit is known. Without one, lookups are skipped.
+	// limits is set if any limit or cold start is known. Without one, lookups are skipped.
 	limits atomic.Bool
 
 	mu    sync.Mutex
@@ -82,7 +82,14 @@
 // describe returns what others have reported about a listed upstream, with the last report of its
 // controller.
 func (u *upstreams) describe(in *sandbarrow.Instance, r availability.Report) availability.Upstream {
-	return availability.Upstream{Evacuated: u.gateway.estate.View().Evacuated(in.FailureDomain), Instance: in, Report: r}
+	view := u.gateway.estate.View()
+	upstream := availability.Upstream{Evacuated: view.Evacuated(in.FailureDomain), Instance: in, Report: r}
+	if !in.ColdUntil.IsZero() && view != nil {
+		if service := view.Table.Services[in.Service]; service != nil {
+			upstream.ColdRate = service.ColdRate
+		}
+	}
+	return upstream
 }
 
 // describeListed returns what is now reported about an upstream that was listed a while ago.
@@ -99,7 +106,11 @@
 	upstream := u.describe(in, r)
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.table.Check(now, upstream)
+	result := u.table.Check(now, upstream)
+	if result.Limited {
+		u.limits.Store(true)
+	}
+	return result
 }
 
 // accepts decides whether a request that chose an upstream a while ago may still be sent there.
@@ -108,6 +119,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	_, accepts := u.table.Accepts(boottime.Now(), upstream)
+	u.limits.Store(!u.table.Gates.Empty())
 	return accepts
 }
 
--- a/instance.go
+++ b/instance.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 )
 
 // ListedID is the id under which an upstream is listed. A restarted upstream may keep its id.
@@ -80,7 +81,12 @@
 
 // Instance is the list entry of an upstream.
 type Instance struct {
-	Address       string
+	Address string
+	// ColdLeft is how much longer the upstream was cold when the entry was written. ColdUntil is the
+	// end of this time by this process's clock; zero if the upstream is warm. The end is late by the
+	// age of the entry at its arrival.
+	ColdLeft      time.Duration
+	ColdUntil     time.Time
 	FailureDomain FailureDomain
 	ID            InstanceID
 	// Draining reports that the upstream accepts no new requests.
--- a/route/route.go
+++ b/route/route.go
@@ -100,6 +100,9 @@
 
 // Service is a set of upstreams that serve the same requests.
 type Service struct {
+	// ColdRate is the request rate that a cold upstream accepts from all processes together; 0
+	// means any.
+	ColdRate sandbarrow.RequestRate
 	// Engine is nil for plain services.
 	Engine *Engine
 	// HealthPath is the path of the upstreams' health check.
--- a/throttle/coordinator_test.go
+++ b/throttle/coordinator_test.go
@@ -101,6 +101,11 @@
 	assert.Assert(t, granted >= 40 && granted <= 56+8, "%d granted in 40 s", granted)
 }
 
+// coldNow is the record of an upstream that is cold and accepts a request rate.
+func coldNow(rate Rate) Record {
+	return Record{AgeMS: limitRetention.Milliseconds(), ColdMS: 3000, ColdRate: rate, Ended: true, Instance: upstream}
+}
+
 // coordinatorSim simulates processes that request sends from two coordinators of one upstream's
 // limit. A coordinator may lose its state, or be unreachable for some of the processes for a while.
 // Each grant is reported to the other coordinator if that is reachable.
@@ -108,7 +113,9 @@
 	coordinators [2]Coordinator
 	// reaches says which process reaches which coordinator.
 	reaches [][2]bool
-	sends   []time.Time
+	// record returns the record of the upstream's limit.
+	record func(Rate) Record
+	sends  []time.Time
 }
 
 // request requests a send from the preferred reachable coordinator, and reports a grant to the
@@ -118,10 +125,10 @@
 		if !s.reaches[process][i] {
 			continue
 		}
-		if s.coordinators[i].Acquire(now, named(rate), 0).Granted {
+		if s.coordinators[i].Acquire(now, s.record(rate), 0).Granted {
 			s.sends = append(s.sends, now)
 			if s.reaches[process][1-i] {
-				s.coordinators[1-i].CountSends(now, named(rate), 1)
+				s.coordinators[1-i].CountSends(now, s.record(rate), 1)
 			}
 		}
 		return
@@ -137,10 +144,22 @@
 }
 
 func TestTwoCoordinatorsStayNearLimit(t *testing.T) {
+	checkTwoCoordinators(t, named, 4*time.Second)
+}
+
+// The number of requests that a cold upstream gets is bounded within each second.
+func TestTwoCoordinatorsStayNearRateOfColdUpstream(t *testing.T) {
+	checkTwoCoordinators(t, coldNow, time.Second)
+}
+
+// checkTwoCoordinators checks that two coordinators stay near a limit within each window of the given
+// length, while they lose their state or are unreachable for some processes.
+func checkTwoCoordinators(t *testing.T, record func(Rate) Record, window time.Duration) {
+	t.Helper()
 	for seed := range uint64(200) {
 		r := rand.New(rand.NewPCG(seed, 1))
 		rate := []Rate{0.3, 0.5, 1.4, 5, 20}[r.IntN(5)]
-		s := coordinatorSim{reaches: make([][2]bool, 2+r.IntN(12))}
+		s := coordinatorSim{reaches: make([][2]bool, 2+r.IntN(12)), record: record}
 		for i := range s.reaches {
 			s.reaches[i] = [2]bool{true, true}
 		}
@@ -159,14 +178,14 @@
 		for i, from := range s.sends {
 			n := 0
 			for _, at := range s.sends[i:] {
-				if at.Before(from.Add(4 * time.Second)) {
+				if at.Before(from.Add(window)) {
 					n++
 				}
 			}
 			busiest = max(busiest, n)
 		}
-		allowed := 1.5*float64(rate)*4 + 5
-		assert.Assert(t, float64(busiest) <= allowed, "seed %d, %v a second: %d in 4 s, %v allowed", seed, rate, busiest, allowed)
+		allowed := 1.5*float64(rate)*window.Seconds() + 5
+		assert.Assert(t, float64(busiest) <= allowed, "seed %d, %v a second: %d in %v, %v allowed", seed, rate, busiest, window, allowed)
 		assert.Assert(t, float64(len(s.sends)) >= 0.7*float64(rate)*length.Seconds(), "seed %d, %v a second: %d in %v", seed, rate, len(s.sends), length)
 	}
 }
--- a/throttle/gates.go
+++ b/throttle/gates.go
@@ -39,28 +39,41 @@
 	gates map[sandbarrow.InstanceID]*gate
 }
 
-// Check returns the time until a send to an upstream may be requested, and the upstream's penalty.
-// A limited upstream is avoided, except by the requests that check whether it still names its
-// limit. Both results are 0 for an upstream without a limit.
-func (g *Gates) Check(now time.Time, id sandbarrow.InstanceID) (wait, penalty time.Duration) {
+// GateCheck is the result of checking the gate of an upstream. It is zero for an upstream without a
+// limit.
+type GateCheck struct {
+	Limited bool
+	// Penalty is the delay that the limit counts as when upstreams are compared.
+	Penalty time.Duration
+	// Wait is the time until a send may be requested.
+	Wait time.Duration
+}
+
+// Check checks whether a send to an upstream may be requested now. An upstream that names a limit is
+// avoided, except by the requests that check whether it still does. A cold upstream is not avoided:
+// it gets the requests that it accepts.
+func (g *Gates) Check(now time.Time, id sandbarrow.InstanceID) GateCheck {
 	limit, limited := g.InForce(now, id)
 	if !limited {
-		return 0, 0
+		return GateCheck{}
 	}
-	penalty = limitPenalty
-	if now.Sub(limit.At) > limitRecheckAge {
-		penalty = -limitPenalty
+	check := GateCheck{Limited: true}
+	switch {
+	case !g.names(id):
+	case now.Sub(limit.At) > limitRecheckAge:
+		check.Penalty = -limitPenalty
+	default:
+		check.Penalty = limitPenalty
 	}
 	e := g.gates[id]
 	switch {
 	case e == nil:
-		return 0, penalty
 	case e.querying:
-		return limit.Rate.Interval(), penalty
+		check.Wait = limit.Rate.Interval()
 	case now.Before(e.nextQueryAt):
-		return e.grantableAt.Sub(now), penalty
+		check.Wait = e.grantableAt.Sub(now)
 	}
-	return 0, penalty
+	return check
 }
 
 // Begin begins a query for a send, and returns the record to send with it. required is false if the
--- a/throttle/limit.go
+++ b/throttle/limit.go
@@ -34,6 +34,19 @@
 	return Limit{At: sent, Ended: true}, true
 }
 
+// Cold is the state of an upstream that is cold after a start. It accepts requests at a lower rate
+// until then.
+type Cold struct {
+	// Rate is the request rate that it accepts; 0 means any.
+	Rate  Rate
+	Until time.Time
+}
+
+// active reports whether the upstream is cold and accepts requests at a limited rate.
+func (c Cold) active(now time.Time) bool {
+	return c.Rate > 0 && now.Before(c.Until)
+}
+
 // newer reports whether the limit is newer than another one and replaces it.
 func (l Limit) newer(other Limit) bool {
 	return l.At.After(other.At)
@@ -48,6 +61,10 @@
 type Record struct {
 	// AgeMS is the age of this state in milliseconds, at the time when the Record was made.
 	AgeMS int64 `json:"age_ms"`
+	// ColdMS is how many milliseconds longer the upstream is cold, and ColdRate the rate that it
+	// accepts until then. Both are 0 if it is warm.
+	ColdMS   int64 `json:"cold_ms,omitempty"`
+	ColdRate Rate  `json:"cold_rate,omitempty"`
 	// Ended says that the upstream no longer names a limit.
 	Ended    bool                  `json:"ended,omitempty"`
 	Instance sandbarrow.InstanceID `json:"instance"`
@@ -56,7 +73,14 @@
 
 // Valid reports whether the fields of a record are within their bounds.
 func (r *Record) Valid() bool {
-	return r.Instance != "" && r.AgeMS >= 0 && r.AgeMS <= limitRetention.Milliseconds() && r.Rate >= 0 && r.Rate <= maxRate
+	ms := limitRetention.Milliseconds()
+	return r.Instance != "" && r.AgeMS >= 0 && r.AgeMS <= ms && r.Rate >= 0 && r.Rate <= maxRate &&
+		r.ColdMS >= 0 && r.ColdMS <= ms && r.ColdRate >= 0 && r.ColdRate <= maxRate
+}
+
+// cold returns what a record says about a cold start.
+func (r *Record) cold(now time.Time) Cold {
+	return Cold{Rate: r.ColdRate, Until: now.Add(time.Duration(r.ColdMS) * time.Millisecond)}
 }
 
 // limit converts a record to a Limit.
--- a/throttle/table.go
+++ b/throttle/table.go
@@ -22,6 +22,7 @@
 // tableEntry is one limit of a Table.
 type tableEntry struct {
 	Limit
+	cold Cold
 	// lastUsed is when the limit was last named or read.
 	lastUsed time.Time
 }
@@ -45,13 +46,7 @@
 	case e == nil && l.Ended:
 		return false
 	case e == nil:
-		if t.limits == nil {
-			t.limits = map[sandbarrow.InstanceID]*tableEntry{}
-		}
-		t.limits[id] = &tableEntry{Limit: l, lastUsed: now}
-		if len(t.limits) > maxLimits {
-			t.dropOldest()
-		}
+		t.add(now, id, &tableEntry{Limit: l})
 		return true
 	case !l.newer(e.Limit):
 		return false
@@ -61,21 +56,59 @@
 	return changed
 }
 
+// SetCold sets whether an upstream is cold, according to the list of upstreams.
+func (t *Table) SetCold(now time.Time, id sandbarrow.InstanceID, c Cold) {
+	e := t.limits[id]
+	switch {
+	case e != nil:
+		e.cold = c
+	case c.active(now):
+		t.expire(now)
+		t.add(now, id, &tableEntry{Limit: Limit{Ended: true}, cold: c})
+	}
+}
+
 // Empty reports whether no limit is known, so that callers can skip lookups.
 func (t *Table) Empty() bool {
 	return len(t.limits) == 0
 }
 
-// InForce returns the limit of an upstream, or false if it names none.
+// add adds an entry, and drops the least recently used one if there are too many.
+func (t *Table) add(now time.Time, id sandbarrow.InstanceID, e *tableEntry) {
+	if t.limits == nil {
+		t.limits = map[sandbarrow.InstanceID]*tableEntry{}
+	}
+	e.lastUsed = now
+	t.limits[id] = e
+	if len(t.limits) > maxLimits {
+		t.dropOldest()
+	}
+}
+
+// InForce returns the limit of an upstream, or false if it names none and is warm. Of a named limit
+// and that of a cold start, the lower one is in force.
 func (t *Table) InForce(now time.Time, id sandbarrow.InstanceID) (Limit, bool) {
 	e := t.limits[id]
-	if e == nil || e.Ended {
+	if e == nil {
+		return Limit{}, false
+	}
+	if e.cold.active(now) && (e.Ended || e.cold.Rate < e.Rate) {
+		e.lastUsed = now
+		return Limit{At: now, Rate: e.cold.Rate}, true
+	}
+	if e.Ended {
 		return Limit{}, false
 	}
 	e.lastUsed = now
 	return e.Limit, true
 }
 
+// names reports whether an upstream names a limit, whether or not it is cold.
+func (t *Table) names(id sandbarrow.InstanceID) bool {
+	e := t.limits[id]
+	return e != nil && !e.Ended
+}
+
 // CountLimited counts the upstreams that name a limit.
 func (t *Table) CountLimited() int {
 	n := 0
@@ -94,7 +127,11 @@
 		return Record{}, false
 	}
 	age := min(max(0, now.Sub(e.At)), limitRetention) // Valid rejects older records
-	return Record{AgeMS: age.Milliseconds(), Ended: e.Ended, Instance: id, Rate: e.Rate}, true
+	r := Record{AgeMS: age.Milliseconds(), Ended: e.Ended, Instance: id, Rate: e.Rate}
+	if e.cold.active(now) {
+		r.ColdMS, r.ColdRate = min(e.cold.Until.Sub(now), limitRetention).Milliseconds(), e.cold.Rate
+	}
+	return r, true
 }
 
 // Records returns the records of all known limits.
@@ -109,8 +146,17 @@
 }
 
 // Merge applies a record from another process, and reports whether the limit in force changes.
+// A cold start ends with the later of the known ends: a process whose list is newer no longer asks.
 func (t *Table) Merge(now time.Time, r Record) (changed bool) {
-	return r.Valid() && t.Apply(now, r.Instance, r.limit(now))
+	if !r.Valid() {
+		return false
+	}
+	if c := r.cold(now); c.active(now) {
+		if e := t.limits[r.Instance]; e == nil || !e.cold.active(now) || c.Until.After(e.cold.Until) {
+			t.SetCold(now, r.Instance, c)
+		}
+	}
+	return t.Apply(now, r.Instance, r.limit(now))
 }
 
 // expire drops limits that have not been used for their retention time.
@@ -120,7 +166,11 @@
 	}
 	t.expiredAt = now
 	for id, e := range t.limits {
-		if now.Sub(e.lastUsed) > limitRetention || e.Ended && now.Sub(e.lastUsed) > endedRetention {
+		retention := limitRetention
+		if e.Ended && !e.cold.active(now) {
+			retention = endedRetention
+		}
+		if now.Sub(e.lastUsed) > retention {
 			delete(t.limits, id)
 		}
 	}
--- a/throttle/table_test.go
+++ b/throttle/table_test.go
@@ -64,3 +64,29 @@
 	table.Apply(now.Add(limitRetention+time.Minute), "new", Limit{At: later, Rate: 1})
 	assert.Equal(t, len(table.limits), 2, "one limit in use and a new one")
 }
+
+func TestRecordOfColdStartEndsNoLimit(t *testing.T) {
+	now := time.Now()
+	var gateway, coordinator Table
+	gateway.SetCold(now, upstream, Cold{Rate: 19, Until: now.Add(3 * time.Second)})
+	coordinator.Apply(now.Add(-time.Minute), upstream, Limit{At: now.Add(-time.Minute), Rate: 2})
+	r, _ := gateway.Record(now, upstream)
+	assert.Assert(t, r.Valid())
+	assert.Assert(t, !coordinator.Merge(now, r), "the limit that the upstream names has not changed")
+	limit, limited := coordinator.InForce(now, upstream)
+	assert.Assert(t, limited && limit.Rate == 2, "%v", limit)
+}
+
+func TestLaterEndOfColdStartIsKept(t *testing.T) {
+	now := time.Now()
+	var coordinator Table
+	cold := func(ms int64) Record {
+		return Record{AgeMS: limitRetention.Milliseconds(), ColdMS: ms, ColdRate: 19, Ended: true, Instance: upstream}
+	}
+	coordinator.Merge(now, cold(3000))
+	coordinator.Merge(now, cold(1000))
+	_, limited := coordinator.InForce(now.Add(2*time.Second), upstream)
+	assert.Assert(t, limited)
+	_, limited = coordinator.InForce(now.Add(3*time.Second), upstream)
+	assert.Assert(t, !limited)
+}
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -7,6 +7,10 @@
 // limit, even if it is far below one request a second for each of them. Gates bound how often one
 // process queries a Coordinator.
 //
+// An upstream that has just started is cold: until it is warm, it accepts a request rate that the
+// operators set. This counts as a limit too, but it comes from the list of upstreams and not from
+// responses, so that no response ends it.
+//
 // The package owns this state, which is bounded and expires, and the rule for grants. It has no
 // clock, lock or connection: its callers pass the time, serialize access, choose the Coordinator
 // and carry Records between processes.
