Keep restricted routes in their regions, and prefer near upstreams

Cause: a route's and a workspace's regions were not read; and an upstream in a region 30 ms away cost as much in the choice as one in the next failure domain.

Both restrictions apply, with the region of each failure domain from the settings. An upstream outside them counts as not listed. Package distance learns the round-trip time to each failure domain from the connections that are opened to controllers there; two of them, and a penalty for the traffic, count in the choice.

--- a/access/access.go
+++ b/access/access.go
@@ -20,6 +20,8 @@
 	Limit Limit
 	// Priority replaces that of a request's route, if it is set. 0 is the most urgent.
 	Priority *int
+	// Regions are the regions whose upstreams may serve the workspace; empty means all.
+	Regions []sandbarrow.Region
 }
 
 // Entry is a workspace with its keys.
--- /dev/null
+++ b/distance/distance_test.go
@@ -0,0 +1,23 @@
+package distance
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestShortestRecentConnectionCounts(t *testing.T) {
+	table := NewTable()
+	assert.Equal(t, table.RoundTrips().To("far"), defaultRoundTrip)
+	for _, ms := range []time.Duration{90, 61, 250, 70} {
+		table.Observe("far", ms*time.Millisecond)
+		table.Observe("near", time.Millisecond)
+	}
+	assert.Equal(t, table.RoundTrips().To("far"), 61*time.Millisecond)
+	assert.Equal(t, table.RoundTrips().To("near"), time.Millisecond)
+	for range samples {
+		table.Observe("far", 80*time.Millisecond)
+	}
+	assert.Equal(t, table.RoundTrips().To("far"), 80*time.Millisecond, "the network has changed")
+}
--- a/gateway/callsend.go
+++ b/gateway/callsend.go
@@ -18,8 +18,12 @@
 const sendWaitDivisor = 4
 
 // check decides whether the request may be sent to an upstream now, and records the result in
-// c.blocked. excluded holds the upstreams that the call does not choose again.
+// c.blocked. excluded holds the upstreams that the call does not choose again. An upstream outside
+// the request's regions counts as not listed.
 func (c *call) check(now time.Time, in *sandbarrow.Instance, r availability.Report, excluded map[sandbarrow.InstanceID]bool) (result availability.Check, may bool) {
+	if !c.mayServeIn(in.FailureDomain) {
+		return availability.Check{}, false
+	}
 	result = c.gateway.upstreams.check(now, in, r)
 	c.blocked.record(now, &result, excluded[in.ID])
 	return result, result.Blocked == "" && !excluded[in.ID]
--- a/gateway/candidate.go
+++ b/gateway/candidate.go
@@ -17,8 +17,8 @@
 	instance *sandbarrow.Instance
 	link     *controllerLink
 	linkView
-	// remote is set if the engine is in another failure domain.
-	remote bool
+	// distancePenalty is the penalty for the engine's distance; 0 in this gateway's failure domain.
+	distancePenalty time.Duration
 	// inFlight is the number of this gateway's requests in flight at the engine.
 	inFlight int
 
@@ -50,6 +50,7 @@
 func (g *Gateway) eligible(c *call, now time.Time, excluded map[sandbarrow.InstanceID]bool, list []candidate) []candidate {
 	c.blocked.reset()
 	members := g.engines.members(c.service.ID)
+	penalties := g.distancePenalties()
 	first := rand.IntN(max(1, len(members)))
 	for i := range members {
 		m := &members[(first+i)%len(members)]
@@ -58,7 +59,7 @@
 		if !allowed {
 			continue
 		}
-		e.remote = m.instance.FailureDomain != g.config.Domain
+		e.distancePenalty = penalties.to(m.instance.FailureDomain)
 		e.inFlight, e.cost = check.InFlight, check.Penalty
 		list = append(list, e)
 	}
--- a/gateway/controllerlink.go
+++ b/gateway/controllerlink.go
@@ -34,6 +34,7 @@
 type controllerLink struct {
 	address string
 	cancel  context.CancelFunc
+	domain  sandbarrow.FailureDomain
 	gateway *Gateway
 	linkState
 }
@@ -42,8 +43,10 @@
 func (l *controllerLink) run(ctx context.Context) {
 	dialer := net.Dialer{Timeout: forward.DialTimeout, KeepAlive: -1}
 	for ctx.Err() == nil {
+		began := time.Now()
 		conn, err := dialer.DialContext(ctx, "tcp", l.address)
 		if err == nil {
+			l.gateway.distances.Observe(l.domain, time.Since(began))
 			l.serve(ctx, conn)
 		}
 		pause.For(ctx, jitter(redialPause))
--- a/gateway/enginecost.go
+++ b/gateway/enginecost.go
@@ -44,9 +44,6 @@
 	// lateShare is the share of the objective that the estimated response time may use. The
 	// rest is reserved for delays that the estimate leaves out.
 	lateShare = 0.85
-	// crossDomainPenalty is for an engine in another failure domain: 4 ms on the network,
-	// and traffic of a stream that is worth 11 ms at the users' prices.
-	crossDomainPenalty = 12 * time.Millisecond
 	// unlinkedPenalty is for an engine whose controller is not linked, as its load is unknown.
 	unlinkedPenalty = 250 * time.Millisecond
 	// unlinkedRunningFactor estimates the running requests of an engine without a status. Only
@@ -143,9 +140,7 @@
 	move := e.planMove(n, f)
 	read := move + speed.TimeToFirstEvent(e.uncachedTokens(n.tokens))
 	e.cost += read
-	if e.remote {
-		e.cost += crossDomainPenalty
-	}
+	e.cost += e.distancePenalty
 	if !e.linked {
 		// Nothing can be loaded without the engine's controller.
 		e.cost += unlinkedPenalty + time.Duration(e.inFlight)*unlinkedRunningFactor*runningDelay
--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -176,25 +176,25 @@
 	if view == nil || list == nil {
 		return
 	}
-	needed := map[string]bool{}
+	needed := map[string]sandbarrow.FailureDomain{}
 	for _, in := range list.All() {
 		if s := view.Table.Services[in.Service]; s != nil && s.Engine != nil {
-			needed[e.gateway.controllerAddress(in.Address)] = true
+			needed[e.gateway.controllerAddress(in.Address)] = in.FailureDomain
 		}
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for address := range needed {
+	for address, domain := range needed {
 		if e.links[address] == nil {
 			linkCtx, cancel := context.WithCancel(ctx)
-			l := &controllerLink{address: address, cancel: cancel, gateway: e.gateway}
+			l := &controllerLink{address: address, cancel: cancel, domain: domain, gateway: e.gateway}
 			e.links[address] = l
 			e.roster.Store(nil)
 			go l.run(linkCtx)
 		}
 	}
 	for address, l := range e.links {
-		if !needed[address] && !l.up(boottime.Now()) {
+		if _, listed := needed[address]; !listed && !l.up(boottime.Now()) {
 			l.cancel()
 			delete(e.links, address)
 			e.roster.Store(nil)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,7 @@
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/crash"
 	"sandbarrow.example/sandbarrow/directory"
+	"sandbarrow.example/sandbarrow/distance"
 	"sandbarrow.example/sandbarrow/estate"
 	"sandbarrow.example/sandbarrow/forward"
 	"sandbarrow.example/sandbarrow/internal/boottime"
@@ -79,6 +80,8 @@
 	PeerAddress string
 	// Peers are addresses of other gateways; some may be stale or down.
 	Peers []string
+	// Regions names the region of each failure domain.
+	Regions map[sandbarrow.FailureDomain]sandbarrow.Region
 	// RetryShare is the share of a service's requests that all gateways together may retry,
 	// RetrySlack the number of additional retries within the users' window.
 	RetryShare, RetrySlack float64
@@ -98,6 +101,7 @@
 	budgets   *retry.ServiceBudgets
 	crashes   *crash.Log
 	directory *directory.Directory
+	distances *distance.Table
 	exits     *exitDetector
 	engines   *engines
 	estate    *estate.Estate
@@ -122,6 +126,7 @@
 		config:    c,
 		crashes:   crash.NewLog(boottime.Now),
 		directory: directory.New(c.Instances, c.Logger),
+		distances: distance.NewTable(),
 		estate:    estate.New(c.Documents, c.Logger),
 		loadTimes: loadtime.NewEstimator(),
 		logger:    c.Logger,
--- a/gateway/serveplain.go
+++ b/gateway/serveplain.go
@@ -140,6 +140,7 @@
 	var bestCost time.Duration
 	list := g.directory.View().Service(c.service.ID)
 	first := rand.IntN(max(1, len(list)))
+	penalties := g.distancePenalties()
 	for i := range list {
 		in := list[(first+i)%len(list)]
 		check, allowed := c.check(now, in, availability.Report{}, excluded)
@@ -147,9 +148,7 @@
 			continue
 		}
 		cost := check.Penalty + time.Duration(check.InFlight)*plainRequestDelay/time.Duration(max(1, in.Slots))
-		if in.FailureDomain != g.config.Domain {
-			cost += crossDomainPenalty
-		}
+		cost += penalties.to(in.FailureDomain)
 		if best == nil || cost < bestCost {
 			best, bestCost = in, cost
 		}
--- a/ids.go
+++ b/ids.go
@@ -41,6 +41,9 @@
 // PolicyID identifies a policy set by the operators.
 type PolicyID string
 
+// Region identifies a set of failure domains that are close to each other.
+type Region string
+
 // RequestID identifies one request of one caller.
 type RequestID string
 
--- a/route/route.go
+++ b/route/route.go
@@ -51,6 +51,8 @@
 	Priority int
 	// Public routes serve callers without a key, even if other routes require one.
 	Public bool
+	// Regions are the regions whose upstreams may serve the route; empty means all.
+	Regions []sandbarrow.Region
 	// Resumable streams may be continued at another upstream.
 	Resumable bool
 	Targets   []Target
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -70,6 +70,9 @@
 	// Peers are the peer addresses of other gateways. A gateway queries them if it can't read
 	// the store at its start. Some may be stale or down.
 	Peers []string `json:"peers"`
+	// Regions names the region of each failure domain. Operators may restrict routes and workspaces
+	// to regions. A failure domain that is missing here serves unrestricted requests only.
+	Regions map[sandbarrow.FailureDomain]sandbarrow.Region `json:"regions"`
 	// RetryShare is the fraction of a service's requests that all gateways together may retry.
 	RetryShare float64 `json:"retry_share"`
 	// RetrySlack is the number of retries that they may send beyond that fraction.
