Round learnt distances to 10 ms

Cause: round-trip times of equally distant failure domains differ by some tenths of a millisecond. The choice took these for differences in cost, so that all requests of a gateway went to one of several equal domains.

Distances are multiples of 10 ms. Within a region the penalty is again what it was before distances were learnt. A test's call gets a route, as each call has one.

--- a/distance/distance.go
+++ b/distance/distance.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// defaultRoundTrip is the round-trip time to a failure domain that has not been measured.
-	defaultRoundTrip = 2 * time.Millisecond
+	// precision is the unit of the estimates. Smaller differences are noise: they must not decide
+	// which of several equally distant domains gets the requests.
+	precision = 10 * time.Millisecond
 	// samples is how many measurements count. The shortest of them is the estimate: all others
 	// include a busy process at one of the ends. Older ones are dropped, so that the estimate
 	// follows a changed network.
@@ -61,10 +62,8 @@
 // RoundTrips are round-trip times by failure domain.
 type RoundTrips map[sandbarrow.FailureDomain]time.Duration
 
-// To returns the round-trip time to a failure domain.
+// To returns the round-trip time to a failure domain, as a multiple of precision. It is 0 for a domain
+// that has not been measured.
 func (r RoundTrips) To(domain sandbarrow.FailureDomain) time.Duration {
-	if measured, ok := r[domain]; ok {
-		return measured
-	}
-	return defaultRoundTrip
+	return r[domain].Round(precision)
 }
--- a/gateway/distancepenalty.go
+++ b/gateway/distancepenalty.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	// crossDomainTraffic and crossRegionTraffic are the penalties for the traffic of a request to
+	// crossDomainPenalty and crossRegionPenalty are the penalties for the traffic of a request to
 	// another failure domain of the region, and to another region.
-	crossDomainTraffic = 8 * time.Millisecond
-	crossRegionTraffic = 32 * time.Millisecond
+	crossDomainPenalty = 12 * time.Millisecond
+	crossRegionPenalty = 36 * time.Millisecond
 	// requestRoundTrips is how many round trips pass before the first event: one to acquire the
 	// adapter, one for the request.
 	requestRoundTrips = 2
@@ -35,9 +35,9 @@
 	if domain == d.domain {
 		return 0
 	}
-	traffic := crossDomainTraffic
+	penalty := crossDomainPenalty
 	if d.regions[domain] != d.regions[d.domain] {
-		traffic = crossRegionTraffic
+		penalty = crossRegionPenalty
 	}
-	return traffic + requestRoundTrips*d.roundTrips.To(domain)
+	return penalty + requestRoundTrips*d.roundTrips.To(domain)
 }
--- a/gateway/serveplain_test.go
+++ b/gateway/serveplain_test.go
@@ -19,7 +19,7 @@
 		items = append(items, sandbarrow.KeyItem{Key: fmt.Sprintf("up/u%d", i), Revision: 1, Value: []byte(text)})
 	}
 	g.directory.Replace(items, 1)
-	c := &call{gateway: g, callerRequest: callerRequest{service: &route.Service{ID: "s"}}}
+	c := &call{gateway: g, callerRequest: callerRequest{route: &route.Route{}, service: &route.Service{ID: "s"}}}
 	got := map[sandbarrow.InstanceID]int{}
 	for range requests {
 		got[g.choosePlain(c, nil).ID]++
