--- a/doc.go
+++ b/doc.go
@@ -8,8 +8,9 @@
 //   - gateway: the process between callers and upstreams
 //   - controller: the process next to each engine, which owns its adapter slots
 //   - enginelink: the messages between the two
-//   - estate, directory, prefixwatch: the operators' routes and versions, the list of
-//     upstreams, and the watch of the platform's store that updates both
+//   - estate, directory, prefixwatch: the operators' routes, versions and evacuations, the
+//     list of upstreams, and the watch of the platform's store that updates both
+//   - distance: the round-trip times to other failure domains
 //   - route, forward, recall: routes, connections to upstreams, adapter loads from the
 //     engines' own memory
 //   - platform: the only package that contains the platform's names
