--- a/gateway/enginecost.go
+++ b/gateway/enginecost.go
@@ -84,9 +84,6 @@
 			loading += e.loadsUnderWay()
 		}
 	}
-	if copies == 0 && n.key.Adapter != "" {
-		preferRanked(list, n.key)
-	}
 	f := newFleetStats(copies, loading, n.loads(loading))
 	f.newestVersion, f.sources, f.speed = newestLoadedVersion(list), findSources(list, n), typicalSpeed(list)
 	return f
