--- a/review/harness/failback.go
+++ b/review/harness/failback.go
@@ -48,8 +48,8 @@
 	// A cold runner falls over at three times what it can bear, which is well above the bound.
 	a := startPlainRunner(store, "i-a1", zones[0], runnerWork, 3*coldPerS)
 	b := startPlainRunner(store, "i-b1", zones[1], runnerWork, 3*coldPerS)
-	list := startGateways(dir, l.Addr().String(), zones, gateways, gatewaySettings{
-		drainMS: 3000, retrySlack: 92, regions: map[string]string{zones[0]: "scot-central", zones[1]: "scot-central"},
+	list := startGateways(dir, zones, gateways, gatewaySettings{
+		stores: []string{l.Addr().String()}, controllerPorts: []string{"9"}, drainMS: 3000, retrySlack: 92, regions: map[string]string{zones[0]: "scot-central", zones[1]: "scot-central"},
 	})
 	awaitReady(list)
 	c := &clients{answers: map[string]answer{}}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -48,7 +48,7 @@
 }
 
 func main() {
-	cases := map[string]func(dir string, trouble bool) bool{"failback": failback}
+	cases := map[string]func(dir string, trouble bool) bool{"coordinators": coordinators, "failback": failback}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: harness CASE FOLDER")
 		os.Exit(exitNotRun)
--- a/review/harness/process.go
+++ b/review/harness/process.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -25,18 +26,39 @@
 	drainMS    int
 	retrySlack int
 	regions    map[string]string
+	// stores and controllerPorts are those of each gateway in turn; the last one holds for the rest.
+	stores          []string
+	controllerPorts []string
+	// alone is how many of the gateways, the first ones, can't reach a peer: those in their settings are
+	// themselves and addresses at which nobody answers.
+	alone int
 }
 
-// freeAddress returns a loopback address that nobody uses.
+// seeds is how many machines the settings of each name at most.
+const seeds = 3
+
+// freeAddress returns a loopback address that nobody uses. Its port is below those that the system gives to
+// outgoing connections, and is returned once only.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	defer l.Close()
-	return l.Addr().String()
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(18000))
+		l, err := net.Listen("tcp", address)
+		if err != nil || given[address] {
+			continue
+		}
+		_ = l.Close()
+		given[address] = true
+		return address
+	}
+	cannotRun("no free port")
+	return ""
 }
 
+// given holds the addresses that freeAddress has returned.
+var given = map[string]bool{}
+
 // startGateways starts gateways that know each other as peers, each in a zone in turn.
-func startGateways(dir, store string, zones []string, count int, s gatewaySettings) []*gatewayProcess {
+func startGateways(dir string, zones []string, count int, s gatewaySettings) []*gatewayProcess {
 	var list []*gatewayProcess
 	var peers []string
 	for range count {
@@ -49,19 +71,27 @@
 		regions = append(regions, fmt.Sprintf("%q: %q", zone, region))
 	}
 	for i, g := range list {
+		known := peers[s.alone:min(len(peers), s.alone+seeds)]
+		if i < s.alone {
+			known = []string{peers[i], strconv.Quote(freeAddress()), strconv.Quote(freeAddress())}
+		}
 		text := fmt.Sprintf(`{
   "box": {"id": "front-%d", "failure_domain": %q},
   "listen": {"http": %q, "peer": %q, "metrics": %q, "ready": %q},
   "log": {"level": "info"},
   "platform": {"store": "http://%s"},
-  "gateway": {"controller_port": 9, "leave_bound": "%dms", "max_descriptors": 4100, "memory_mb": 284,
+  "gateway": {"controller_port": %s, "leave_bound": "%dms", "max_descriptors": 4100, "memory_mb": 284,
     "peers": [%s], "regions": {%s}, "retry_share": 0.2, "retry_slack": %d, "stop_grace": "8s"},
-}`, i+1, zones[i%len(zones)], g.front, g.peer, freeAddress(), g.ready, store, s.drainMS, strings.Join(peers, ", "), strings.Join(regions, ", "), s.retrySlack)
+}`, i+1, zones[i%len(zones)], g.front, g.peer, freeAddress(), g.ready,
+			nth(s.stores, i), nth(s.controllerPorts, i), s.drainMS, strings.Join(known, ", "), strings.Join(regions, ", "), s.retrySlack)
 		g.command = startProgram(dir, fmt.Sprintf("gateway-%d", i+1), text, "gateway")
 	}
 	return list
 }
 
+// nth returns the element of a list at an index, or the last one.
+func nth(list []string, i int) string { return list[min(i, len(list)-1)] }
+
 // startProgram starts the project's program with its settings in a file.
 func startProgram(dir, name, settings string, arguments ...string) *exec.Cmd {
 	file := filepath.Join(dir, name+".json")
