--- a/review/harness/coordinators.go
+++ b/review/harness/coordinators.go
@@ -16,6 +16,8 @@
 	engineModel   = "base"
 	// cutGateways are how many of the gateways are cut off, each from all other machines.
 	cutGateways = 2
+	// rateWhereCut and rateElsewhere are how many requests clients send to a gateway in a second.
+	rateWhereCut, rateElsewhere = 60, 30
 	// cutLasts is how long gateways are cut off from the other machines and the store.
 	cutLasts = 5500 * time.Millisecond
 	// listRead is the time within which all gateways have read the list: 0.4 x leave_bound, and some more.
@@ -64,7 +66,7 @@
 		_, port, _ := net.SplitHostPort(link.address)
 		paths, stores, ports = append(paths, link, storePath), append(stores, storePath.address), append(ports, port)
 	}
-	list := startGateways(dir, []string{zones[0], zones[0], zones[0], zones[1], zones[1], zones[1]}, gateways, gatewaySettings{
+	list := startGateways(dir, []string{zones[0], zones[0], zones[0], zones[0], zones[1], zones[1]}, gateways, gatewaySettings{
 		stores: append(stores, l.Addr().String()), controllerPorts: append(ports, rpcPort),
 		drainMS: 3000, retrySlack: 92, regions: map[string]string{zones[0]: "scot-central", zones[1]: "scot-central"},
 		alone: cutGateways,
@@ -83,8 +85,12 @@
 	c := &clients{answers: map[string]answer{}}
 	ctx, stop := context.WithCancel(context.Background())
 	var loads, wait sync.WaitGroup
-	for _, g := range list {
-		loads.Go(func() { c.load(ctx, g.front, "/pay/x/", ratePerGateway, 3*time.Second, &wait) })
+	for i, g := range list {
+		rate := rateElsewhere
+		if i < cutGateways {
+			rate = rateWhereCut
+		}
+		loads.Go(func() { c.load(ctx, g.front, "/pay/x/", rate, 3*time.Second, &wait) })
 	}
 	time.Sleep(cutLasts)
 	if trouble {
