Let logs and metrics tell how processes and connections end

Cause: a gateway that ended by itself, one that was killed and one whose memory was exhausted left the same log, a connection that the gateway closed was logged as a caller that had left, and a panic in a handler was a debug line.

What callers saw: a closed connection; after a panic too.

Evidence: the users' record has a start without a stop and nothing else.

Change: the log names the signal or error that ends a process, and warns when its memory nears that of the box. Lines that can't be written are counted, a reader that stops reading no longer holds up the end of a process, and agents and entries write their logs in the background as well. Connections of callers record which side closed them, by which rule, after how many requests and how long a rest. Responses that are too large are counted by part. A panic in a handler is logged with its stack, counted and answered 500 where no response has begun.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -133,7 +133,7 @@
 		return nil, errors.Annotate(ErrBroken, err.Error())
 	}
 	if len(body) > limit {
-		return nil, errors.Annotatef(ErrBroken, "body exceeds %d bytes", limit)
+		return nil, &TooLargeError{Part: PartBody, Limit: int64(limit)}
 	}
 	rs.complete = true
 	return body, nil
@@ -153,11 +153,14 @@
 			rs.complete = true
 			return nil, io.EOF
 		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			return nil, &TooLargeError{Part: PartEvent, Limit: maxEventBytes}
+		}
 		if err != nil {
 			return nil, errors.Annotatef(ErrBroken, "event truncated after %d bytes: %v", len(event), err)
 		}
 		if len(event) > maxEventBytes {
-			return nil, errors.Annotatef(ErrBroken, "event exceeds %d bytes", maxEventBytes)
+			return nil, &TooLargeError{Part: PartEvent, Limit: maxEventBytes}
 		}
 		if end := strings.TrimRight(string(line), "\r\n"); end == "" && len(event) > len(line) {
 			return event, nil
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -57,13 +57,13 @@
 	acquired time.Duration
 	// failure is an engine's error response. It is passed on if no other engine serves the request.
 	failure *completeResponse
-	// cause is why the last attempt at an engine failed, for its log line.
-	cause string
+	// cause is why the last attempt at an engine failed, for its log line and metrics.
+	cause error
 }
 
 // streamState is the state of a streamed response.
 type streamState struct {
-	// committed is set once the response header has been sent to the caller.
+	// committed is set right before the response header is sent to the caller.
 	committed bool
 	// origin is where the stream began; nil before its first event.
 	origin *origin.Origin
@@ -98,6 +98,7 @@
 	}
 	defer c.releaseMemory()
 	defer c.endTrial()
+	defer c.recoverPanic()
 	if !c.findRoute() || !c.authenticate() || !c.admitMemory() || !c.prepare() || !c.admit() || !c.admitContent() {
 		return
 	}
--- a/gateway/callend.go
+++ b/gateway/callend.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -37,8 +39,10 @@
 	reasonEvacuated reason = "evacuated"
 	reasonLimit     reason = "limit"
 	// reasonMemory is a request that the gateway had no memory for.
-	reasonMemory     reason = "memory"
-	reasonNoConfig   reason = "no-configuration"
+	reasonMemory   reason = "memory"
+	reasonNoConfig reason = "no-configuration"
+	// reasonPanic is a request whose handler panicked.
+	reasonPanic      reason = "panic"
 	reasonNoLeader   reason = "no-quota-leader"
 	reasonNoRoute    reason = "no-route"
 	reasonOverload   reason = "overload"
@@ -74,6 +78,24 @@
 	panic(http.ErrAbortHandler)
 }
 
+// recoverPanic ends a call whose handler has panicked, unless that is how it aborts a response. A
+// caller without a response gets one that promises nothing, as the request may have run.
+func (c *call) recoverPanic() {
+	value := recover()
+	if value == nil {
+		return
+	}
+	if value == any(http.ErrAbortHandler) {
+		panic(value)
+	}
+	c.gateway.metrics.panics.Inc()
+	c.gateway.logger.Error("handler panicked", "request", c.id, "panic", fmt.Sprint(value), "stack", string(debug.Stack()))
+	if c.committed {
+		c.abort(reasonPanic)
+	}
+	c.refuse(http.StatusInternalServerError, reasonPanic)
+}
+
 // copyHeader copies the header of an upstream's response to the caller's response.
 func (c *call) copyHeader(a *forward.UpstreamResponse) {
 	h := c.writer.Header()
@@ -112,6 +134,7 @@
 func (c *call) writeResponse(got *completeResponse) {
 	c.recordResponse(got.response)
 	c.copyHeader(got.response)
+	c.committed = true
 	if c.request.Method != http.MethodHead {
 		c.writer.Header().Set("Content-Length", strconv.Itoa(len(got.body)))
 	}
@@ -141,6 +164,7 @@
 	if status == http.StatusUnauthorized {
 		h.Set("WWW-Authenticate", access.Scheme)
 	}
+	c.committed = true
 	contentType, body := refusalBody(status, why)
 	h.Set("Content-Type", contentType)
 	c.writer.WriteHeader(status)
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -35,6 +35,7 @@
 // callers accepts the connections of callers, or refuses new ones. It is safe for concurrent use.
 type callers struct {
 	gateway   *Gateway
+	closed    *prometheus.CounterVec
 	idle      *httpserve.IdleCloser
 	listener  *httpserve.PausableListener
 	open      atomic.Int64
@@ -56,8 +57,11 @@
 		pauses: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sandbarrow_gateway_listener_pauses_total", Help: "Pauses in which new connections of callers are refused, by cause.",
 		}, []string{"cause"}),
+		closed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sandbarrow_gateway_closed_connections_total", Help: "Connections of callers that ended, by the side that closed them or the rule of the gateway by which it did.",
+		}, []string{"cause"}),
 	}
-	g.config.Metrics.MustRegister(c.pauses, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	g.config.Metrics.MustRegister(c.closed, c.pauses, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "sandbarrow_gateway_caller_connections", Help: "Open connections of callers.",
 	}, func() float64 { return float64(c.open.Load()) }))
 	return c
@@ -66,7 +70,7 @@
 // listen returns the listener for the server that serves the callers.
 func (c *callers) listen(l net.Listener) net.Listener {
 	c.listener = httpserve.NewPausableListener(l)
-	return c.listener
+	return httpserve.NewConnListener(c.listener)
 }
 
 // trackState follows the state of a connection. It is the ConnState of the server.
@@ -76,6 +80,9 @@
 		c.open.Add(1)
 	case http.StateClosed, http.StateHijacked:
 		c.open.Add(-1)
+		if own, ok := conn.(*httpserve.Conn); ok {
+			c.closed.WithLabelValues(string(own.Use().Closed)).Inc()
+		}
 	}
 	c.idle.TrackState(conn, s)
 	c.applyBound()
--- a/gateway/calllog.go
+++ b/gateway/calllog.go
@@ -7,6 +7,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/availability"
+	"sandbarrow.example/sandbarrow/httpserve"
 )
 
 // maxLoggedBytes bounds text of a caller in a log line. It is enough to recognise a host or path.
@@ -54,6 +55,7 @@
 	if why != "" {
 		attrs = append(attrs, slog.String("reason", string(why)))
 	}
+	attrs = append(attrs, c.connectionAttributes(why)...)
 	if c.namedLimit > 0 {
 		attrs = append(attrs, slog.Float64("upstream_limit", c.namedLimit))
 	}
@@ -85,6 +87,20 @@
 	return attrs
 }
 
+// connectionAttributes returns the log attributes of the caller's connection if it ended before the
+// response was complete: which side closed it, how many requests it carried, and how long it was idle
+// before this one.
+func (c *call) connectionAttributes(why reason) []slog.Attr {
+	conn := httpserve.RequestConn(c.request)
+	if conn == nil || why != reasonCallerLeft && why != reasonCallerStalled {
+		return nil
+	}
+	use := conn.Use()
+	return []slog.Attr{
+		slog.String("closed_by", string(use.Closed)), slog.Int("connection_requests", use.Requests), slog.Int64("rested_ms", use.Rested.Milliseconds()),
+	}
+}
+
 // resumed reports whether the request resumes a stream.
 func (c *call) resumed() bool {
 	return c.request.Header.Get(c.gateway.config.Headers.LastEvent) != ""
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,7 @@
 	"sandbarrow.example/sandbarrow/estate"
 	"sandbarrow.example/sandbarrow/forward"
 	"sandbarrow.example/sandbarrow/heldbytes"
+	"sandbarrow.example/sandbarrow/httpserve"
 	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/loadtime"
 	"sandbarrow.example/sandbarrow/prefixwatch"
@@ -230,7 +231,7 @@
 	callers := g.callers.listen(listener)
 	server := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: g.callers.trackState, ErrorLog: slog.NewLogLogger(g.logger.Handler(), slog.LevelDebug),
+		ConnContext: httpserve.WithConn, ConnState: g.callers.trackState, ErrorLog: slog.NewLogLogger(g.logger.Handler(), slog.LevelWarn),
 	}
 	var group errgroup.Group
 	estateWatch := prefixwatch.Watch{
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -4,10 +4,12 @@
 	"strconv"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/availability"
+	"sandbarrow.example/sandbarrow/forward"
 )
 
 // metrics are the gateway's metrics.
@@ -19,6 +21,8 @@
 	permitRequests    *prometheus.CounterVec
 	limitedSends      *prometheus.CounterVec
 	moves             *prometheus.CounterVec
+	oversized         *prometheus.CounterVec
+	panics            prometheus.Counter
 	quota             *prometheus.CounterVec
 	quotaRequests     *prometheus.CounterVec
 	requests          *prometheus.CounterVec
@@ -53,6 +57,12 @@
 		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sandbarrow_gateway_moves_total", Help: "Moves of prompt memory between engines that were chosen, by what came of them.",
 		}, []string{"outcome"}),
+		oversized: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sandbarrow_gateway_oversized_responses_total", Help: "Responses of upstreams that were broken off because a part of them was too large, by part.",
+		}, []string{"service", "part"}),
+		panics: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sandbarrow_gateway_panics_total", Help: "Requests whose handler panicked.",
+		}),
 		quota: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sandbarrow_gateway_quota_units_total", Help: "Units that requests count against their workspaces' limits, by what came of asking for them.",
 		}, []string{"workspace", "outcome"}),
@@ -78,10 +88,18 @@
 			Name: "sandbarrow_gateway_unrecorded_streams_total", Help: "Streams of which no other process was told where they began.",
 		}),
 	}
-	r.MustRegister(m.blockedSends, m.exits, m.firstEventSeconds, m.loadClaims, m.permitRequests, m.limitedSends, m.moves, m.quota, m.quotaRequests, m.requests, m.requestSeconds, m.resumes, m.sent, m.stalledCallers, m.unrecordedStreams)
+	r.MustRegister(m.blockedSends, m.exits, m.firstEventSeconds, m.loadClaims, m.permitRequests, m.limitedSends, m.moves, m.oversized, m.panics, m.quota, m.quotaRequests, m.requests, m.requestSeconds, m.resumes, m.sent, m.stalledCallers, m.unrecordedStreams)
 	return m
 }
 
+// attemptFailed counts a failed attempt if a part of the response was too large.
+func (m *metrics) attemptFailed(service sandbarrow.ServiceID, err error) {
+	var tooLarge *forward.TooLargeError
+	if errors.As(err, &tooLarge) {
+		m.oversized.WithLabelValues(string(service), string(tooLarge.Part)).Inc()
+	}
+}
+
 // blockedSend counts a request sent to an upstream whose notice in force said that it accepts none.
 func (m *metrics) blockedSend(service sandbarrow.ServiceID, n *availability.Notice) {
 	if n.Draining {
--- a/gateway/progress_test.go
+++ b/gateway/progress_test.go
@@ -25,8 +25,8 @@
 	c := &call{}
 	ctx, cancel := context.WithCancelCause(t.Context())
 	assert.Equal(t, c.failAttempt(ctx, resultBroken, io.ErrUnexpectedEOF), resultBroken)
-	assert.Equal(t, c.cause, io.ErrUnexpectedEOF.Error())
+	assert.Equal(t, c.cause, io.ErrUnexpectedEOF)
 	cancel(errStalled)
 	assert.Equal(t, c.failAttempt(ctx, resultBroken, io.ErrUnexpectedEOF), resultBroken)
-	assert.Equal(t, c.cause, errStalled.Error())
+	assert.Equal(t, c.cause, error(errStalled))
 }
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -202,7 +202,8 @@
 		permit.release()
 	}
 	if result != resultAnswered {
-		c.logAttempt(e.instance.ID, result.String(), c.cause, e)
+		c.gateway.metrics.attemptFailed(c.service.ID, c.cause)
+		c.logAttempt(e.instance.ID, result.String(), c.cause.Error(), e)
 	}
 	next, mayHaveRun, endReason := afterAttempt(result, c.committed, c.route.Retryable())
 	if mayHaveRun {
@@ -283,6 +284,6 @@
 	if cause := context.Cause(ctx); errors.Is(cause, errStalled) {
 		err = cause
 	}
-	c.cause = err.Error()
+	c.cause = err
 	return result
 }
--- a/gateway/serveplain.go
+++ b/gateway/serveplain.go
@@ -131,6 +131,7 @@
 func (c *call) logPlainAttempt(id sandbarrow.InstanceID, got *completeResponse, err error) {
 	switch {
 	case err != nil:
+		c.gateway.metrics.attemptFailed(c.service.ID, err)
 		c.logAttempt(id, "failed", err.Error(), nil)
 	case got.response.Status >= http.StatusInternalServerError || c.notRun(got.response):
 		c.logAttempt(id, "status "+strconv.Itoa(got.response.Status), "", nil)
--- a/httpserve/idlecloser.go
+++ b/httpserve/idlecloser.go
@@ -42,7 +42,7 @@
 	}
 	c := longest.Value.(idleConn).conn
 	i.forget(c)
-	_ = c.Close() // the caller may have closed it already
+	closeConn(c, ClosedForRoom)
 	return true
 }
 
@@ -50,6 +50,9 @@
 func (i *IdleCloser) TrackState(c net.Conn, s http.ConnState) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	if own, ok := c.(*Conn); ok {
+		own.setState(s)
+	}
 	i.forget(c)
 	if s != http.StateIdle {
 		return
@@ -69,6 +72,15 @@
 		return
 	}
 	i.forget(c)
+	closeConn(c, ClosedIdle)
+}
+
+// closeConn closes a connection for a cause.
+func closeConn(c net.Conn, cause CloseCause) {
+	if own, ok := c.(*Conn); ok {
+		own.closeFor(cause)
+		return
+	}
 	_ = c.Close() // the caller may have closed it already
 }
 
--- a/internal/cmd/agentcmd.go
+++ b/internal/cmd/agentcmd.go
@@ -10,7 +10,6 @@
 
 	"sandbarrow.example/sandbarrow/agent"
 	"sandbarrow.example/sandbarrow/httpserve"
-	"sandbarrow.example/sandbarrow/logging"
 	"sandbarrow.example/sandbarrow/platform"
 	"sandbarrow.example/sandbarrow/settings"
 )
@@ -33,12 +32,13 @@
 	if s.Agent == nil {
 		return errors.NotValidf("%s: no part agent", c.Settings)
 	}
-	logger, err := logging.New(c.out.stderr, s)
+	registry := prometheus.NewRegistry()
+	log, err := startLog(c.out.stderr, s, registry)
 	if err != nil {
 		return err
 	}
-	registry := prometheus.NewRegistry()
-	a, err := agent.New(s, platform.UpstreamNotices{}, logger, registry)
+	defer log.close()
+	a, err := agent.New(s, platform.UpstreamNotices{}, log.logger, registry)
 	if err != nil {
 		return err
 	}
@@ -46,8 +46,10 @@
 	if err != nil {
 		return errors.Annotatef(err, "listen.http %s", s.Listen.HTTP)
 	}
-	logger.Info("agent started", "rpc", a.Address(), "http", listener.Addr().String(), "upstream", string(s.Agent.Upstream.ID))
-	return serveAgent(c.ctx, a, listener, registry)
+	log.logger.Info("agent started", "rpc", a.Address(), "http", listener.Addr().String(), "upstream", string(s.Agent.Upstream.ID))
+	err = serveAgent(c.ctx, a, listener, registry)
+	logEnd(c.ctx, log.logger, "agent", err)
+	return err
 }
 
 // serveAgent runs an agent. It serves the agent's operational paths until the agent has stopped.
--- a/internal/cmd/daemon.go
+++ b/internal/cmd/daemon.go
@@ -17,7 +17,6 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
 
-	"sandbarrow.example/sandbarrow/logging"
 	"sandbarrow.example/sandbarrow/settings"
 )
 
@@ -32,7 +31,7 @@
 type daemon struct {
 	file     string
 	logger   *slog.Logger
-	log      *logging.AsyncWriter
+	log      *processLog
 	registry *prometheus.Registry
 	settings *settings.Settings
 }
@@ -43,26 +42,20 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &daemon{file: file, log: logging.NewAsyncWriter(w), registry: prometheus.NewRegistry(), settings: s}
-	if d.logger, err = logging.New(d.log, s); err != nil {
+	d := &daemon{file: file, registry: prometheus.NewRegistry(), settings: s}
+	if d.log, err = startLog(w, s, d.registry); err != nil {
 		return nil, err
 	}
-	d.registry.MustRegister(collectors.NewGoCollector(), prometheus.NewCounterFunc(prometheus.CounterOpts{
-		Name: "sandbarrow_log_lines_dropped_total", Help: "Log lines lost because their reader was slow.",
-	}, func() float64 { return float64(d.log.Dropped()) }))
+	d.logger = d.log.logger
+	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return d, nil
 }
 
-// run calls work. Until work returns, run also writes the log, serves the metrics and checks the
-// settings file on SIGHUP.
+// run calls work. Until work returns, run also serves the metrics, watches the process's memory and
+// checks the settings file on SIGHUP. It logs how the process began and why it ends, and closes the
+// log.
 func (d *daemon) run(ctx context.Context, role string, work func(context.Context) error) error {
-	logCtx, stopLog := context.WithCancel(context.Background())
-	logged := make(chan error, 1)
-	go func() { logged <- d.log.Run(logCtx) }()
-	defer func() {
-		stopLog()
-		<-logged
-	}()
+	defer d.log.close()
 	metrics, err := net.Listen("tcp", d.settings.Listen.Metrics)
 	if err != nil {
 		return errors.Annotatef(err, "listen.metrics %s", d.settings.Listen.Metrics)
@@ -76,16 +69,28 @@
 		d.reloadLoop(background)
 		return nil
 	})
-	d.logger.Info("started", "role", role, "settings", d.file)
+	group.Go(func() error {
+		watchMemory(background, d.logger, d.memoryMB())
+		return nil
+	})
+	logStart(d.logger, role, d.file)
 	err = work(ctx)
 	stopBackground()
 	if backgroundErr := group.Wait(); err == nil {
 		err = backgroundErr
 	}
-	d.logger.Info("stopped", "role", role)
+	logEnd(ctx, d.logger, role, err)
 	return err
 }
 
+// memoryMB returns the memory of the box in MiB; 0 if the settings don't name it.
+func (d *daemon) memoryMB() int {
+	if d.settings.Gateway == nil {
+		return 0
+	}
+	return d.settings.Gateway.MemoryMB
+}
+
 // reloadLoop reads and validates the settings file on each SIGHUP and logs the result. The process
 // keeps the settings it started with; new ones take effect at the next start.
 func (d *daemon) reloadLoop(ctx context.Context) {
--- a/internal/cmd/entrycmd.go
+++ b/internal/cmd/entrycmd.go
@@ -7,7 +7,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"sandbarrow.example/sandbarrow/entry"
-	"sandbarrow.example/sandbarrow/logging"
 	"sandbarrow.example/sandbarrow/settings"
 )
 
@@ -29,14 +28,18 @@
 	if s.Entry == nil {
 		return errors.NotValidf("%s: no part entry", c.Settings)
 	}
-	logger, err := logging.New(c.out.stderr, s)
+	registry := prometheus.NewRegistry()
+	log, err := startLog(c.out.stderr, s, registry)
 	if err != nil {
 		return err
 	}
-	e, err := entry.New(s, logger, prometheus.NewRegistry())
+	defer log.close()
+	e, err := entry.New(s, log.logger, registry)
 	if err != nil {
 		return err
 	}
-	logger.Info("entry started", "http", e.Address())
-	return e.Run(c.ctx)
+	log.logger.Info("entry started", "http", e.Address())
+	err = e.Run(c.ctx)
+	logEnd(c.ctx, log.logger, "entry", err)
+	return err
 }
--- a/internal/cmd/rootcmd.go
+++ b/internal/cmd/rootcmd.go
@@ -5,8 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"os/signal"
-	"syscall"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/juju/errors"
@@ -40,7 +38,7 @@
 
 // Main runs one command and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	ctx, stop := notifyContext()
 	defer stop()
 	out := &output{stderr: stderr, stdout: stdout}
 	_, err := newParser(ctx, out).ParseArgs(args)
--- a/logging/asyncwriter.go
+++ b/logging/asyncwriter.go
@@ -11,14 +11,16 @@
 const (
 	// bufferedLines is the number of lines buffered for a slow reader of the log.
 	bufferedLines = 2048
-	// dropReportInterval is the interval at which dropped lines are reported.
-	dropReportInterval = time.Second
+	// lossReportInterval is the interval at which lost lines are reported.
+	lossReportInterval = time.Second
 )
 
-// AsyncWriter is a writer that never blocks. It buffers lines, and drops and counts those that
-// arrive while the buffer is full.
+// AsyncWriter is a writer that never blocks and never fails. It buffers lines, and drops and counts
+// those that arrive while the buffer is full. It also counts those that its output did not accept, as
+// a pipe whose reader is gone.
 type AsyncWriter struct {
 	dropped atomic.Uint64
+	failed  atomic.Uint64
 	lines   chan []byte
 	output  io.Writer
 }
@@ -31,20 +33,21 @@
 // Dropped returns the number of dropped lines.
 func (w *AsyncWriter) Dropped() uint64 { return w.dropped.Load() }
 
+// Failed returns the number of lines that the output did not accept.
+func (w *AsyncWriter) Failed() uint64 { return w.failed.Load() }
+
 // Run writes lines until ctx ends, and then the lines that are still buffered.
 func (w *AsyncWriter) Run(ctx context.Context) error {
-	ticker := time.NewTicker(dropReportInterval)
+	ticker := time.NewTicker(lossReportInterval)
 	defer ticker.Stop()
-	reported := uint64(0)
+	var dropped, failed uint64
 	for {
 		select {
 		case line := <-w.lines:
-			_, _ = w.output.Write(line) // an error can't be logged: this is the log
+			w.write(line)
 		case <-ticker.C:
-			if n := w.dropped.Load(); n > reported {
-				fmt.Fprintf(w.output, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", n-reported)
-				reported = n
-			}
+			dropped = w.report("log lines dropped", dropped, w.dropped.Load())
+			failed = w.report("log lines not written", failed, w.failed.Load())
 		case <-ctx.Done():
 			w.flush()
 			return nil
@@ -57,13 +60,32 @@
 	for {
 		select {
 		case line := <-w.lines:
-			_, _ = w.output.Write(line)
+			w.write(line)
 		default:
 			return
 		}
 	}
 }
 
+// report writes how many lines were lost since the last report, and returns the number reported in
+// total. A report that fails is repeated with the next one.
+func (w *AsyncWriter) report(message string, reported, lost uint64) uint64 {
+	if lost == reported {
+		return reported
+	}
+	if _, err := fmt.Fprintf(w.output, "{\"level\":\"WARN\",\"msg\":%q,\"lines\":%d}\n", message, lost-reported); err != nil {
+		return reported
+	}
+	return lost
+}
+
+// write writes one line, or counts it as failed: an error can't be logged, since this is the log.
+func (w *AsyncWriter) write(line []byte) {
+	if _, err := w.output.Write(line); err != nil {
+		w.failed.Add(1)
+	}
+}
+
 // Write buffers one line, or drops it if the buffer is full. It never returns an error.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
 	select {
