Let no process end because the reader of its output is gone

Cause: the Go runtime ends a process with SIGPIPE at a write to a standard output or error that nobody reads any more. No command took the signal.

What callers saw: all requests of a gateway end with a closed connection, and those of all gateways at once where one collector reads all logs.

Commands for operators still end with their reader.

--- a/internal/cmd/agentcmd.go
+++ b/internal/cmd/agentcmd.go
@@ -24,6 +24,7 @@
 
 // Execute runs the command.
 func (c *agentCmd) Execute([]string) error {
+	ignoreBrokenOutput()
 	setGCPercent()
 	s, err := settings.Load(c.Settings)
 	if err != nil {
--- a/internal/cmd/controllercmd.go
+++ b/internal/cmd/controllercmd.go
@@ -24,6 +24,7 @@
 
 // Execute runs the command.
 func (c *controllerCmd) Execute([]string) error {
+	ignoreBrokenOutput()
 	setGCPercent()
 	d, err := newDaemon(c.Settings, c.out.stdout)
 	if err != nil {
--- a/internal/cmd/entrycmd.go
+++ b/internal/cmd/entrycmd.go
@@ -20,6 +20,7 @@
 
 // Execute runs the command.
 func (c *entryCmd) Execute([]string) error {
+	ignoreBrokenOutput()
 	setGCPercent()
 	s, err := settings.Load(c.Settings)
 	if err != nil {
--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -25,6 +25,7 @@
 
 // Execute runs the command.
 func (c *gatewayCmd) Execute([]string) error {
+	ignoreBrokenOutput()
 	setGCPercent()
 	d, err := newDaemon(c.Settings, c.out.stdout)
 	if err != nil {
