Close no connection whose next request has begun

Cause: the server reports a connection as active only once it has read the next request's header. Until then the idle bound, the bound on connections and the server's own Shutdown took it for idle, also where its bytes had arrived or had been read.

What callers saw: a request on a kept connection is passed on and run, and its connection is closed without an answer. The log said caller-left.

Change: the connection itself decides, with its reads excluded meanwhile. It is idle if the server waits in a read, nothing was read since the last response began, and nothing lies in the receive buffer; bytes read as it is closed are not served. A planned stop closes idle connections by the same rule instead of Shutdown. The server's idle timeout, a read deadline that counts unread bytes for nothing, is replaced by the same closer.

--- a/forward/pool.go
+++ b/forward/pool.go
@@ -1,7 +1,7 @@
 // Package forward sends requests to upstreams over persistent HTTP connections. It distinguishes
 // requests that were not sent, requests without a complete response, and complete responses. It
 // owns the connections to upstreams, with one Pool for each upstream, and the rules for which headers
-// are forwarded. It depends on no other package of the system. The gateway uses it. A Pool is safe
+// are forwarded. It depends on no decision of the system. The gateway uses it. A Pool is safe
 // for concurrent use, an UpstreamResponse is not.
 package forward
 
@@ -15,6 +15,8 @@
 
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
+
+	"sandbarrow.example/sandbarrow/internal/socket"
 )
 
 const (
@@ -143,22 +145,5 @@
 // usable reports whether an idle connection is open and has no bytes to read. Unexpected bytes
 // belong to no request, so a connection with such bytes is not used again.
 func (c *conn) usable() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	usable := false
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		_, _, peekErr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		usable = peekErr == unix.EAGAIN
-	})
-	return err == nil && usable
+	return c.reader.Buffered() == 0 && socket.Look(c.Conn) == socket.Nothing
 }
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -19,6 +19,8 @@
 	// limitedInterval the one while a limit on requests is in force.
 	roundTripInterval = 200 * time.Millisecond
 	limitedInterval   = 100 * time.Millisecond
+	// drainInterval is the interval at which a gateway that stops closes idle connections.
+	drainInterval = 20 * time.Millisecond
 )
 
 // The causes for which new connections are refused.
@@ -80,9 +82,7 @@
 		c.open.Add(1)
 	case http.StateClosed, http.StateHijacked:
 		c.open.Add(-1)
-		if own, ok := conn.(*httpserve.Conn); ok {
-			c.closed.WithLabelValues(string(own.Use().Closed)).Inc()
-		}
+		c.closed.WithLabelValues(string(conn.(*httpserve.Conn).Use().Closed)).Inc()
 	}
 	c.idle.TrackState(conn, s)
 	c.applyBound()
@@ -143,6 +143,22 @@
 	return c.refusing
 }
 
+// drain accepts no more connections, and closes those that are open as they become idle. It returns
+// how many are open when ctx ends, or 0 as soon as none is.
+//
+// The server's own Shutdown would also close connections whose next request it has read.
+func (c *callers) drain(ctx context.Context) int64 {
+	_ = c.listener.Close() // fails only if the server has closed it
+	for ctx.Err() == nil {
+		c.idle.CloseAll(httpserve.ClosedForStop)
+		if c.open.Load() == 0 {
+			break
+		}
+		pause.For(ctx, drainInterval)
+	}
+	return c.open.Load()
+}
+
 // end ends a request.
 func (c *callers) end() {
 	c.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -230,7 +230,7 @@
 	defer end()
 	callers := g.callers.listen(listener)
 	server := &http.Server{
-		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: g, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: httpserve.WithConn, ConnState: g.callers.trackState, ErrorLog: slog.NewLogLogger(g.logger.Handler(), slog.LevelWarn),
 	}
 	var group errgroup.Group
@@ -257,19 +257,18 @@
 		defer end()
 		return g.stop(ctx, server)
 	})
-	if err := server.Serve(callers); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(callers); g.stopping.Load() == nil {
 		end()
 		return errors.Annotate(err, "serve callers")
 	}
 	return group.Wait()
 }
 
-// idleBound returns the operators' bound on the idle time of a caller's connection; 0 if they set
-// none.
+// idleBound returns how long a caller's connection may be idle.
 func (g *Gateway) idleBound() time.Duration {
 	view := g.estate.View()
-	if view == nil {
-		return 0
+	if view == nil || view.Table.Limits.IdleTimeout <= 0 {
+		return idleTimeout
 	}
 	return view.Table.Limits.IdleTimeout
 }
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -30,9 +30,10 @@
 	time.Sleep(g.config.AcceptAfterStop)
 	rest, cancel := context.WithDeadline(context.Background(), began.Add(g.config.StopGrace-stopMargin))
 	defer cancel()
-	if err := server.Shutdown(rest); err != nil {
-		g.logger.Warn("requests cut at the end of the grace", "error", err.Error())
+	if open := g.callers.drain(rest); open > 0 {
+		g.logger.Warn("requests cut at the end of the grace", "connections", open)
 	}
+	_ = server.Close() // its listener is closed already
 	g.logger.Info("gateway stopped", "took", time.Since(began).String())
 	return nil
 }
--- a/httpserve/conn.go
+++ b/httpserve/conn.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"sandbarrow.example/sandbarrow/internal/socket"
 )
 
 // CloseCause is why a caller's connection was closed.
@@ -24,19 +26,32 @@
 	ClosedIdle CloseCause = "idle"
 	// ClosedForRoom is an idle connection that made room for new ones.
 	ClosedForRoom CloseCause = "room"
+	// ClosedForStop is an idle connection of a process that stops.
+	ClosedForStop CloseCause = "stop"
 )
 
-// Conn is a connection of a caller that follows its own use, so that logs and metrics tell which side
-// closed it and after what. It is safe for concurrent use.
+// headerTimeout is the time after which a request whose header is still incomplete no longer keeps
+// its connection open.
+const headerTimeout = 5 * time.Second
+
+// Conn is a connection of a caller that knows whether a request may be under way on it. It also
+// records its use, so that logs and metrics tell which side closed it and after what. It is safe for
+// concurrent use.
 type Conn struct {
 	net.Conn
 
 	mu    sync.Mutex
 	cause CloseCause
-	// idleSince is when the last response was complete; zero before the first one and during a request.
+	// idleSince is when the server last waited for a request; zero during a request.
 	idleSince time.Time
-	requests  int
-	rested    time.Duration
+	lastRead  time.Time
+	// reading is set while the server waits for bytes. All bytes before them have then been consumed
+	// by its requests, or are the incomplete header of the next one.
+	reading  bool
+	requests int
+	rested   time.Duration
+	// unanswered is set once bytes have been read after the beginning of the last response.
+	unanswered bool
 }
 
 // ConnUse is what a connection has been used for.
@@ -51,18 +66,22 @@
 
 // Close closes the connection. The cause is the server's unless another one is known.
 func (c *Conn) Close() error {
-	c.setCause(ClosedByServer)
+	c.mu.Lock()
+	if c.cause == "" {
+		c.cause = ClosedByServer
+	}
+	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
-// Read reads from the connection.
+// Read reads from the connection. Bytes that arrive as closeIfIdle closes it are not returned, so that
+// no request is served whose response can't be written.
 func (c *Conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	var timeout net.Error
-	if err != nil && !(errors.As(err, &timeout) && timeout.Timeout()) {
-		c.setCause(ClosedByCaller)
+	if !c.beginRead() {
+		return 0, net.ErrClosed
 	}
-	return n, err
+	n, err := c.Conn.Read(p)
+	return c.endRead(n, err)
 }
 
 // Use returns what the connection has been used for.
@@ -72,19 +91,57 @@
 	return ConnUse{Closed: c.cause, Requests: c.requests, Rested: c.rested}
 }
 
-// closeFor closes the connection for a cause of this side.
-func (c *Conn) closeFor(cause CloseCause) {
-	c.setCause(cause)
+// Write writes a part of a response.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.unanswered = false
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+func (c *Conn) beginRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cause != "" {
+		return false
+	}
+	c.reading = true
+	return true
+}
+
+// closeIfIdle closes the connection unless a request may be under way: the server is not waiting for
+// bytes, it has read some since its last response, or some have arrived. It reports whether the
+// connection is closed.
+func (c *Conn) closeIfIdle(cause CloseCause) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cause != "" {
+		return true
+	}
+	incomplete := c.unanswered && time.Since(c.lastRead) < headerTimeout
+	if !c.reading || incomplete || socket.Look(c.Conn) == socket.Bytes {
+		return false
+	}
+	c.cause = cause
 	_ = c.Conn.Close() // the caller may have closed it already
+	return true
 }
 
-// setCause records why the connection is closed, unless that is known already.
-func (c *Conn) setCause(cause CloseCause) {
+func (c *Conn) endRead(n int, err error) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.cause == "" {
-		c.cause = cause
+	c.reading = false
+	if c.cause != "" {
+		return 0, net.ErrClosed
+	}
+	if n > 0 {
+		c.lastRead, c.unanswered = time.Now(), true
 	}
+	var timeout net.Error
+	if err != nil && !(errors.As(err, &timeout) && timeout.Timeout()) {
+		c.cause = ClosedByCaller
+	}
+	return n, err
 }
 
 // setState follows the state that the server reports.
@@ -94,15 +151,19 @@
 	switch s {
 	case http.StateActive:
 		c.requests++
-		if !c.idleSince.IsZero() {
-			c.rested = time.Since(c.idleSince)
-		}
-		c.idleSince = time.Time{}
-	case http.StateIdle:
+		c.rested = time.Since(c.idleSince)
+	case http.StateNew, http.StateIdle:
 		c.idleSince = time.Now()
 	}
 }
 
+// waited returns how long the server has waited for a request.
+func (c *Conn) waited() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.idleSince)
+}
+
 // connListener returns each connection as a Conn.
 type connListener struct{ net.Listener }
 
--- /dev/null
+++ b/internal/socket/pending.go
@@ -0,0 +1,50 @@
+// Package socket looks at what a connection has received without reading from it. It keeps no state.
+package socket
+
+import (
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// Pending is what the receive buffer of a connection holds.
+type Pending int
+
+// The contents of a receive buffer.
+const (
+	// Nothing is an open connection without bytes to read.
+	Nothing Pending = iota
+	// Bytes are bytes to read.
+	Bytes
+	// End is the end of the connection, or an error.
+	End
+)
+
+// Look returns what a connection has received and its process has not read. A connection without a
+// file descriptor counts as one without bytes.
+func Look(conn net.Conn) Pending {
+	c, ok := conn.(syscall.Conn)
+	if !ok {
+		return Nothing
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return End
+	}
+	pending := End
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case err == unix.EAGAIN:
+			pending = Nothing
+		case err == nil && n > 0:
+			pending = Bytes
+		}
+	})
+	if err != nil {
+		return End
+	}
+	return pending
+}
