Bound each part of an upstream's response while it is read

Cause: a head was read without a bound, a body of up to 16 MiB was counted once it had been read, the body of a refusal or of an earlier response was read to its end, and an event of up to 1 MiB was counted after it.

What callers saw: an upstream that writes without end takes the memory of the gateway's box, its process is killed, and all requests in progress end with a closed connection. Below that, new requests were refused for want of memory.

Change: a head has 32 KiB and 256 lines, a refusal's body 64 KiB, an earlier response's 4 MiB, all events of a stream 64 MiB. What is below the bounds is asked from the budget before it is read. A response that holds more than its share of what new requests leave is read up to half of the budget only, and is broken off there if it has been read in part. Bodies are read in reused chunks. Such a response is broken, its connection is closed, and the next upstream is tried where the route allows.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -18,10 +18,10 @@
 	// a socket's buffer. A larger body is written concurrently, because the upstream may respond
 	// before it has read the whole body.
 	syncBodyBytes = 8 << 10
-	// maxEventBytes bounds the size of one event of a stream.
-	maxEventBytes = 1 << 20
-	// maxStaleResponses bounds the responses to earlier requests that are skipped.
+	// maxStaleResponses bounds the responses to earlier requests that are skipped, and maxStaleBytes the
+	// body of each.
 	maxStaleResponses = 3
+	maxStaleBytes     = 4 << 20
 )
 
 // Request is a request as it is sent to an upstream.
@@ -29,6 +29,10 @@
 	Body   []byte
 	Header http.Header
 	Host   string
+	// Hold is called before bytes of the response are held in memory, besides the connection's buffers;
+	// a negative number releases some. It may wait. If it returns an error, the response is broken. If
+	// it is nil, nothing is counted.
+	Hold func(bytes int) error
 	// ID is the value that IDHeader must have in the response.
 	ID       string
 	IDHeader string
@@ -45,13 +49,18 @@
 	Header http.Header
 	Status int
 
-	body       *bufio.Reader
-	conn       *conn
-	pool       *Pool
-	stopCancel func() bool
-	resp       *http.Response
-	complete   bool
-	written    chan error
+	body *bufio.Reader
+	conn *conn
+	// counter counts held bytes. heldHead and heldEvent are those of the head and of the last event.
+	counter             func(bytes int) error
+	heldHead, heldEvent int
+	pool                *Pool
+	stopCancel          func() bool
+	resp                *http.Response
+	complete            bool
+	// streamBytes is the size of all events so far.
+	streamBytes int
+	written     chan error
 }
 
 // Send sends a request to the upstream and reads the header of its response. The caller must
@@ -67,18 +76,42 @@
 		return nil, errors.Annotate(ErrNotSent, "AllowSend returned false")
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	rs := &UpstreamResponse{conn: c, pool: p, stopCancel: stop}
+	rs := &UpstreamResponse{conn: c, counter: r.Hold, pool: p, stopCancel: stop}
 	if err := rs.write(r); err != nil {
 		rs.Close()
-		return nil, errors.Annotate(ErrBroken, err.Error())
+		return nil, broken(err)
 	}
 	if err := rs.readHeader(r); err != nil {
 		rs.Close()
-		return nil, errors.Annotate(ErrBroken, err.Error())
+		return nil, broken(err)
 	}
 	return rs, nil
 }
 
+// hold counts bytes that are to be held.
+func (rs *UpstreamResponse) hold(bytes int) error {
+	if rs.counter == nil {
+		return nil
+	}
+	return rs.counter(bytes)
+}
+
+// release counts bytes that are no longer held.
+func (rs *UpstreamResponse) release(bytes int) {
+	if bytes > 0 {
+		_ = rs.hold(-bytes) // releasing never fails
+	}
+}
+
+// holdHead counts bytes of the head.
+func (rs *UpstreamResponse) holdHead(bytes int) error {
+	if err := rs.hold(bytes); err != nil {
+		return err
+	}
+	rs.heldHead += bytes
+	return nil
+}
+
 func (rs *UpstreamResponse) write(r *Request) error {
 	var b bytes.Buffer
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
@@ -104,7 +137,9 @@
 // earlier requests on this connection.
 func (rs *UpstreamResponse) readHeader(r *Request) error {
 	for range maxStaleResponses + 1 {
+		rs.conn.bytes.beginHead(rs.holdHead)
 		resp, err := http.ReadResponse(rs.conn.reader, &http.Request{Method: r.Method})
+		rs.conn.bytes.endHead()
 		if err != nil {
 			return err
 		}
@@ -119,82 +154,34 @@
 		if resp.Header.Get(r.IDHeader) == "" || resp.Close {
 			return errors.Errorf("response has request ID %q", resp.Header.Get(r.IDHeader))
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := discard(resp.Body); err != nil {
 			return err
 		}
 	}
 	return errors.New("too many responses to other requests")
 }
 
-// Body reads the complete body, which must not exceed limit bytes.
-func (rs *UpstreamResponse) Body(limit int) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(rs.body, int64(limit)+1))
-	if err != nil {
-		return nil, errors.Annotate(ErrBroken, err.Error())
-	}
-	if len(body) > limit {
-		return nil, &TooLargeError{Part: PartBody, Limit: int64(limit)}
-	}
-	rs.complete = true
-	return body, nil
-}
-
-// Event reads one complete event of a stream, including the empty line at its end. It returns
-// io.EOF when the stream is complete.
-func (rs *UpstreamResponse) Event() ([]byte, error) {
-	var event []byte
-	for {
-		line, err := rs.body.ReadSlice('\n')
-		event = append(event, line...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(event) < maxEventBytes {
-			continue
-		}
-		if err == io.EOF && len(event) == 0 {
-			rs.complete = true
-			return nil, io.EOF
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			return nil, &TooLargeError{Part: PartEvent, Limit: maxEventBytes}
-		}
-		if err != nil {
-			return nil, errors.Annotatef(ErrBroken, "event truncated after %d bytes: %v", len(event), err)
-		}
-		if len(event) > maxEventBytes {
-			return nil, &TooLargeError{Part: PartEvent, Limit: maxEventBytes}
-		}
-		if end := strings.TrimRight(string(line), "\r\n"); end == "" && len(event) > len(line) {
-			return event, nil
-		}
-	}
-}
-
-// EndsWithEvent reports whether a stream that has been read completely ends with a complete event, or
-// is empty. One that ends within an event has been broken off, whatever its framing says.
-func EndsWithEvent(stream []byte) bool {
-	for _, end := range []string{"\n\n", "\r\n\r\n", "\n\r\n"} {
-		if bytes.HasSuffix(stream, []byte(end)) {
-			return true
-		}
-	}
-	return len(stream) == 0
-}
-
-// EventID returns the ID of an event, or "" if it has none.
-func EventID(event []byte) string {
-	for line := range bytes.Lines(event) {
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(id))
-		}
+// discard reads the body of a response to an earlier request.
+func discard(body io.Reader) error {
+	switch _, err := io.CopyN(io.Discard, body, maxStaleBytes+1); err {
+	case nil:
+		return &TooLargeError{Limit: maxStaleBytes, Part: PartStale, Unit: "bytes"}
+	case io.EOF:
+		return nil
+	default:
+		return err
 	}
-	return ""
 }
 
 // Close returns the connection to the pool if it can be reused: the request was written and the
 // response read completely, no further bytes have arrived, the context of Send was not canceled,
 // and the upstream keeps the connection open. Otherwise Close closes the connection.
 func (rs *UpstreamResponse) Close() {
+	rs.releaseEvent()
+	rs.release(rs.heldHead)
+	rs.heldHead = 0
 	stopped := rs.stopCancel()
-	if rs.complete && stopped && rs.requestWritten() && !rs.resp.Close && rs.conn.reader.Buffered() == 0 {
+	if rs.complete && stopped && rs.requestWritten() && !rs.resp.Close && rs.conn.buffered() == 0 {
 		rs.pool.put(rs.conn, keepAliveTimeout(rs.Header))
 		return
 	}
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -49,6 +49,8 @@
 // conn is one connection to an upstream.
 type conn struct {
 	net.Conn
+	// bytes reads from Conn, and reader from bytes.
+	bytes   *responseReader
 	expires time.Time
 	reader  *bufio.Reader
 }
@@ -128,7 +130,8 @@
 		}
 		return nil, notSent
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes)}, nil
+	bytes := newResponseReader(c)
+	return &conn{Conn: c, bytes: bytes, reader: bufio.NewReaderSize(bytes, readBufferBytes)}, nil
 }
 
 func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
@@ -142,8 +145,11 @@
 	return set
 }
 
+// buffered returns the number of bytes that have been received and not read.
+func (c *conn) buffered() int { return c.reader.Buffered() + c.bytes.buffer.Buffered() }
+
 // usable reports whether an idle connection is open and has no bytes to read. Unexpected bytes
 // belong to no request, so a connection with such bytes is not used again.
 func (c *conn) usable() bool {
-	return c.reader.Buffered() == 0 && socket.Look(c.Conn) == socket.Nothing
+	return c.buffered() == 0 && socket.Look(c.Conn) == socket.Nothing
 }
--- a/gateway/callerwrite.go
+++ b/gateway/callerwrite.go
@@ -46,10 +46,8 @@
 	return nil
 }
 
-// passEvent sends an event to the caller. It counts as held until the caller has taken it.
+// passEvent sends an event to the caller.
 func (c *call) passEvent(control *http.ResponseController, event []byte) error {
-	c.memory.add(int64(len(event)))
-	defer c.memory.add(-int64(len(event)))
 	if err := c.writeToCaller(event); err != nil {
 		return err
 	}
--- a/gateway/callsend.go
+++ b/gateway/callsend.go
@@ -64,7 +64,10 @@
 	began := boottime.Now()
 	notice := c.gateway.upstreams.notice(began, in.ID)
 	namedLimit, limited := c.gateway.upstreams.limitInForce(in.ID)
-	a, err := c.gateway.pool(in).Send(ctx, c.upstreamRequest(in, version))
+	request := c.upstreamRequest(in, version)
+	c.memory.response = 0
+	request.Hold = func(bytes int) error { return c.memory.await(ctx, int64(bytes)) }
+	a, err := c.gateway.pool(in).Send(ctx, request)
 	if errors.Is(err, forward.ErrNotSent) {
 		c.gateway.upstreams.recordUnsent(in, err)
 		return nil, began, err
--- a/gateway/heldmemory.go
+++ b/gateway/heldmemory.go
@@ -4,13 +4,11 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"sandbarrow.example/sandbarrow/forward"
 	"sandbarrow.example/sandbarrow/heldbytes"
 	"sandbarrow.example/sandbarrow/internal/pause"
 )
@@ -30,6 +28,8 @@
 type heldMemory struct {
 	budget *heldbytes.Budget
 	bytes  int64
+	// response is the part of bytes that the response of the current attempt holds.
+	response int64
 }
 
 // newMemoryBudget returns the gateway's budget and registers its metric.
@@ -60,19 +60,28 @@
 func (c *call) releaseMemory() {
 	if c.memory.budget != nil {
 		c.memory.add(-c.memory.bytes)
+		c.memory.budget.AddRequests(-1)
 	}
 }
 
-// await counts bytes of a response. It waits for room until ctx ends. The upstream's response is not
-// read meanwhile.
+// await counts bytes of a response before they are read; a negative number releases some. It waits for
+// room until ctx ends, and the upstream's response is not read meanwhile. A large response that has been
+// read in part doesn't wait: such responses could wait for each other.
 func (m *heldMemory) await(ctx context.Context, bytes int64) error {
-	for !m.budget.Acquire(bytes, m.bytes, heldbytes.Response) {
-		if ctx.Err() != nil {
-			return errors.Annotatef(errNoMemory, "%d bytes of a response", bytes)
+	if bytes <= 0 {
+		m.add(bytes)
+		m.response += bytes
+		return nil
+	}
+	use := m.budget.UseOfResponse(m.response + bytes)
+	for !m.budget.Acquire(bytes, m.bytes, use) {
+		if ctx.Err() != nil || m.response > 0 && use == heldbytes.LargeResponse {
+			return errors.Annotatef(errNoMemory, "%d bytes of a response, of which %d were read", bytes, m.response)
 		}
 		pause.For(ctx, memoryPause)
 	}
 	m.bytes += bytes
+	m.response += bytes
 	return nil
 }
 
@@ -80,6 +89,7 @@
 // is admitted.
 func (c *call) admitMemory() bool {
 	c.memory.budget = c.gateway.memory
+	c.memory.budget.AddRequests(1)
 	if !c.memory.acquire(heldbytes.RequestBytes) {
 		c.refuseForMemory()
 		return false
@@ -105,18 +115,3 @@
 	}
 	return n, err
 }
-
-// readResponse reads a complete response of an upstream. It waits until there is room for it.
-func (c *call) readResponse(ctx context.Context, a *forward.UpstreamResponse) ([]byte, error) {
-	expected, err := strconv.ParseInt(a.Header.Get("Content-Length"), 10, 64)
-	if err != nil || expected < 0 {
-		expected = 0 // counted when it has been read
-	}
-	expected = min(expected, maxResponseBytes)
-	if err := c.memory.await(ctx, expected); err != nil {
-		return nil, err
-	}
-	body, err := a.Body(maxResponseBytes)
-	c.memory.add(int64(len(body)) - expected)
-	return body, err
-}
--- a/gateway/passresponse.go
+++ b/gateway/passresponse.go
@@ -22,7 +22,7 @@
 
 // passComplete passes on an engine's response that is not a stream.
 func (c *call) passComplete(ctx context.Context, a *forward.UpstreamResponse) attemptResult {
-	body, err := c.readResponse(ctx, a)
+	body, err := a.Body(maxResponseBytes)
 	if err != nil {
 		return c.failAttempt(ctx, resultBroken, err)
 	}
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -22,6 +22,8 @@
 	pollInterval = 40 * time.Millisecond
 	// streamMediaType is the media type of a response that is passed on event by event.
 	streamMediaType = "text/event-stream"
+	// maxRefusalBytes bounds the body of a response that says that the request did not run.
+	maxRefusalBytes = 64 << 10
 )
 
 // refuseNoReply is logged if a controller did not reply.
@@ -269,7 +271,7 @@
 	defer a.Close()
 	c.gateway.upstreams.observeResponse(e.instance, sent, a)
 	if c.notRun(a) {
-		_, _ = a.Body(maxResponseBytes) // the body must be read before the connection can be reused
+		c.discardBody(a)
 		return c.failAttempt(ctx, resultNotRun, errors.Errorf("status %d", a.Status))
 	}
 	if !isStream(a) {
@@ -278,6 +280,17 @@
 	return c.passEvents(ctx, a, e, p)
 }
 
+// discardBody reads the body of a response that says that the request did not run, because the
+// connection can be reused only after that. A body that is too large ends the connection.
+func (c *call) discardBody(a *forward.UpstreamResponse) {
+	body, err := a.Body(maxRefusalBytes)
+	if err == nil {
+		c.memory.add(-int64(len(body)))
+		return
+	}
+	c.gateway.metrics.attemptFailed(c.service.ID, err)
+}
+
 // failAttempt stores the cause of a failed attempt and returns its result. If watchProgress
 // cancelled the attempt, the stall is the cause, whatever error followed.
 func (c *call) failAttempt(ctx context.Context, result attemptResult, err error) attemptResult {
--- a/gateway/serveplain.go
+++ b/gateway/serveplain.go
@@ -168,7 +168,7 @@
 	}
 	defer a.Close()
 	c.gateway.upstreams.observeResponse(in, sent, a)
-	body, err := c.readResponse(ctx, a)
+	body, err := a.Body(maxResponseBytes)
 	if err != nil {
 		return nil, err
 	}
