Bound what is read from the store, the list of boxes, engines and other processes

Cause: responses of the store, of the list of boxes and of an engine's report, health check and orders were read to their end, with a header of up to 10 MB. A complete response of an engine had no bound at an agent, the lines of an event neither. A message between processes took the memory that its sender had announced before a byte of it had come.

What callers saw: the process is killed for its memory, with all its requests; a controller or agent takes its engine's requests with it.

Change: package readbudget reads such messages: each has a bound, their memory grows with what arrives, and all that are read at once share 32 MiB beyond the first 64 KiB of each. Headers have 32 KiB.

A response over its limit is an error now where it was cut silently before; the test of package httpcall says so.

--- a/boxlist/httplist.go
+++ b/boxlist/httplist.go
@@ -13,8 +13,12 @@
 	"sandbarrow.example/sandbarrow/internal/httpcall"
 )
 
-// callTimeout bounds one read of the list.
-const callTimeout = time.Second
+const (
+	// callTimeout bounds one read of the list.
+	callTimeout = time.Second
+	// maxListBytes bounds the list.
+	maxListBytes = 8 << 20
+)
 
 // HTTP reads the platform's list of boxes over HTTP.
 type HTTP struct {
@@ -24,12 +28,12 @@
 
 // NewHTTP returns a reader of the list at a URL.
 func NewHTTP(url string) *HTTP {
-	return &HTTP{client: &http.Client{Timeout: callTimeout}, url: url}
+	return &HTTP{client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: httpcall.MaxHeaderBytes}}, url: url}
 }
 
 // Boxes reads the list.
 func (l *HTTP) Boxes(ctx context.Context) ([]sandbarrow.Box, error) {
-	response, err := httpcall.Do(ctx, l.client, httpcall.Call{Method: http.MethodGet, URL: l.url})
+	response, err := httpcall.Do(ctx, l.client, httpcall.Call{Limit: maxListBytes, Method: http.MethodGet, URL: l.url})
 	if err != nil {
 		return nil, errors.Annotate(err, "box list")
 	}
--- a/internal/cmd/daemon.go
+++ b/internal/cmd/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
 
+	"sandbarrow.example/sandbarrow/internal/httpcall"
 	"sandbarrow.example/sandbarrow/settings"
 )
 
@@ -127,5 +128,6 @@
 	dialer := net.Dialer{Timeout: storeDialTimeout, KeepAlive: -1}
 	return &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: storeIdleTimeout, MaxIdleConnsPerHost: 8,
+		MaxResponseHeaderBytes: httpcall.MaxHeaderBytes,
 	}}
 }
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -8,11 +8,12 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 
 	"github.com/juju/errors"
+
+	"sandbarrow.example/sandbarrow/internal/readbudget"
 )
 
 // The errors of a call.
@@ -23,13 +24,20 @@
 	ErrUnknown = errors.ConstError("httpcall: outcome unknown")
 )
 
+// ErrTooLarge is an ErrUnknown: the response exceeds the call's limit.
+const ErrTooLarge = errors.ConstError("httpcall: response too large")
+
+// MaxHeaderBytes bounds the header of a response. Clients set it in their transport.
+const MaxHeaderBytes = 32 << 10
+
 // Call describes one call.
 type Call struct {
 	// Body is sent unchanged. If it is empty, the request has no body.
 	Body []byte
 	// Header holds the request's headers; it may be nil.
 	Header http.Header
-	// Limit is the maximum number of bytes to read of the response body; 0 is unlimited.
+	// Limit is the maximum size of the response body, in bytes. Beyond it the call fails with
+	// ErrTooLarge.
 	Limit  int64
 	Method string
 	URL    string
@@ -43,8 +51,8 @@
 	Status int
 }
 
-// Do makes a call. If the response broke off within its body, Do returns ErrUnknown and the response
-// header.
+// Do makes a call. If the response broke off within its body or exceeds the limit, Do returns ErrUnknown
+// and the response header.
 func Do(ctx context.Context, client *http.Client, c Call) (Response, error) {
 	r, err := http.NewRequestWithContext(ctx, c.Method, c.URL, bytes.NewReader(c.Body))
 	if err != nil {
@@ -62,11 +70,11 @@
 	}
 	defer response.Body.Close()
 	a := Response{Header: response.Header, Status: response.StatusCode}
-	var body io.Reader = response.Body
-	if c.Limit > 0 {
-		body = io.LimitReader(body, c.Limit)
-	}
-	if a.Body, err = io.ReadAll(body); err != nil {
+	a.Body, err = readbudget.ReadAll(response.Body, c.Limit)
+	switch {
+	case errors.Is(err, readbudget.ErrTooLarge):
+		return a, errors.WithType(errors.Annotate(ErrUnknown, err.Error()), ErrTooLarge)
+	case err != nil:
 		return a, errors.Annotate(ErrUnknown, err.Error())
 	}
 	return a, nil
--- a/internal/httpcall/httpcall_test.go
+++ b/internal/httpcall/httpcall_test.go
@@ -28,15 +28,22 @@
 
 	t.Run("complete response", func(t *testing.T) {
 		response, err := Do(context.Background(), server.Client(), Call{
-			Body: []byte("x"), Header: http.Header{"Extra": {"h"}}, Limit: 3, Method: http.MethodPut, URL: server.URL,
+			Body: []byte("x"), Header: http.Header{"Extra": {"h"}}, Limit: 6, Method: http.MethodPut, URL: server.URL,
 		})
 		assert.NilError(t, err)
 		assert.Equal(t, response.Status, http.StatusTeapot)
-		assert.Equal(t, string(response.Body), "ans")
+		assert.Equal(t, string(response.Body), "answer")
 		assert.Equal(t, response.Header.Get("Echo"), "PUT h")
 	})
+	t.Run("too large body", func(t *testing.T) {
+		response, err := Do(context.Background(), server.Client(), Call{Limit: 5, Method: http.MethodPut, URL: server.URL})
+		assert.ErrorIs(t, err, ErrTooLarge)
+		assert.ErrorIs(t, err, ErrUnknown)
+		assert.Equal(t, response.Status, http.StatusTeapot)
+		assert.Equal(t, len(response.Body), 0)
+	})
 	t.Run("truncated body", func(t *testing.T) {
-		response, err := Do(context.Background(), server.Client(), Call{Method: http.MethodGet, URL: server.URL + "/truncated"})
+		response, err := Do(context.Background(), server.Client(), Call{Limit: 10, Method: http.MethodGet, URL: server.URL + "/truncated"})
 		assert.ErrorIs(t, err, ErrUnknown)
 		assert.Equal(t, response.Status, http.StatusOK)
 	})
--- a/store/httpstore.go
+++ b/store/httpstore.go
@@ -58,7 +58,7 @@
 
 // NewHTTP returns a client for the store at a base URL.
 func NewHTTP(base string) *HTTP {
-	return &HTTP{base: base, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConnections}}, eras: storeera.NewTracker()}
+	return &HTTP{base: base, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, MaxResponseHeaderBytes: httpcall.MaxHeaderBytes}}, eras: storeera.NewTracker()}
 }
 
 // CompareAndSwap writes a key if it is at the previous revision.
@@ -156,7 +156,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	response, err := httpcall.Do(ctx, s.client, httpcall.Call{
-		Body: body, Limit: sandbarrow.MaxValueBytes + 1, Method: method, URL: s.base + path,
+		Body: body, Limit: sandbarrow.MaxValueBytes, Method: method, URL: s.base + path,
 	})
 	httpcall.CloseHungConnections(ctx, s.client)
 	s.lastCallFailed.Store(err != nil)
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -4,13 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 
 	"github.com/juju/errors"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/readbudget"
 )
 
 // Engine is a client for a model engine with the OpenAI API and the widely used endpoints to load
@@ -82,7 +82,11 @@
 		} `json:"data"`
 		Start string `json:"start"`
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+	body, err := readBody(resp)
+	if err != nil {
+		return state, err
+	}
+	if err := json.Unmarshal(body, &list); err != nil {
 		return state, errors.Annotate(sandbarrow.ErrUpstreamBroken, err.Error())
 	}
 	state.Start = list.Start
@@ -153,9 +157,9 @@
 }
 
 func readBody(resp *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(resp.Body)
+	body, err := readbudget.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
-		return nil, errors.Annotatef(sandbarrow.ErrUpstreamBroken, "response truncated: %v", err)
+		return nil, errors.Annotatef(sandbarrow.ErrUpstreamBroken, "response not read: %v", err)
 	}
 	return body, nil
 }
--- a/upstream/enginestream.go
+++ b/upstream/enginestream.go
@@ -80,8 +80,11 @@
 	var event []byte
 	for {
 		line, err := r.ReadSlice('\n')
+		if len(event)+len(line) > maxEventBytes {
+			return errors.Annotatef(sandbarrow.ErrUpstreamBroken, "event exceeds %d bytes", maxEventBytes)
+		}
 		event = append(event, line...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(event) < maxEventBytes {
+		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
 		if err != nil {
--- a/upstream/httpcall.go
+++ b/upstream/httpcall.go
@@ -16,16 +16,21 @@
 // requestIDHeader sends the request's ID to the upstream.
 const requestIDHeader = "X-Request-Id"
 
-// maxErrorBytes bounds the bytes read from an error response.
-const maxErrorBytes = 4 << 10
+const (
+	// maxErrorBytes bounds the bytes read from an error response.
+	maxErrorBytes = 4 << 10
+	// maxResponseBytes bounds a complete response. An agent sends it on as one message.
+	maxResponseBytes = 8 << 20
+)
 
 // newClient returns a client that closes a call's connection when its context is canceled. This
 // is how the engine detects a canceled run, and the reason for using net/http.
 func newClient(maxConnections int) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DisableCompression:  true,
-		MaxIdleConns:        maxConnections,
-		MaxIdleConnsPerHost: maxConnections,
+		DisableCompression:     true,
+		MaxIdleConns:           maxConnections,
+		MaxIdleConnsPerHost:    maxConnections,
+		MaxResponseHeaderBytes: httpcall.MaxHeaderBytes,
 	}}
 }
 
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/httpcall"
 )
 
 // Service is a client for a plain service. It has no adapters.
@@ -20,8 +21,9 @@
 // whether it ran.
 func NewService(baseURL string, o sandbarrow.SendObserver) *Service {
 	return &Service{baseURL: baseURL, observer: o, client: &http.Client{Transport: &http.Transport{
-		DisableCompression: true,
-		DisableKeepAlives:  true,
+		DisableCompression:     true,
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: httpcall.MaxHeaderBytes,
 	}}}
 }
 
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -11,6 +11,8 @@
 	"sync"
 
 	"github.com/juju/errors"
+
+	"sandbarrow.example/sandbarrow/internal/readbudget"
 )
 
 const (
@@ -95,9 +97,9 @@
 
 // readBody reads a message of n bytes into v.
 func (s *Stream) readBody(n int, v any) error {
-	body := make([]byte, n)
-	if _, err := io.ReadFull(s.reader, body); err != nil {
-		return errors.Annotatef(ErrMalformed, "cut after %d bytes: %v", n, err)
+	body, err := readbudget.ReadFull(s.reader, n)
+	if err != nil {
+		return errors.Annotatef(ErrMalformed, "cut within %d bytes: %v", n, err)
 	}
 	if err := unmarshal(body, v); err != nil {
 		return errors.Annotate(ErrMalformed, err.Error())
