Let an agent outlive a failed accept, and bound the connections of other processes

Cause: an agent ended at the first accept that failed, as where no descriptor is left. The number of connections that others may open had no bound.

What callers saw: all requests of the agent's engine end.

Change: agents, controllers and gateways accept by the same function of package wire.

--- a/agent/connection.go
+++ b/agent/connection.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"sandbarrow.example/sandbarrow"
@@ -43,20 +42,7 @@
 
 // accept serves entries until ctx ends.
 func (a *Agent) accept(ctx context.Context) error {
-	go func() {
-		<-ctx.Done()
-		_ = a.listener.Close()
-	}()
-	for {
-		conn, err := a.listener.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
-			return errors.Annotatef(err, "listen.rpc %s", a.settings.Listen.RPC)
-		}
-		go a.serve(ctx, conn)
-	}
+	return wire.Accept(ctx, a.listener, a.logger, a.serve)
 }
 
 // serve serves one entry until it disconnects.
--- a/controller/gatewaylink.go
+++ b/controller/gatewaylink.go
@@ -45,7 +45,7 @@
 
 // Serve accepts links of gateways until ctx is done.
 func (c *Controller) Serve(ctx context.Context, listener net.Listener) error {
-	return enginelink.Accept(ctx, listener, c.logger, c.serveLink)
+	return wire.Accept(ctx, listener, c.logger, c.serveLink)
 }
 
 // serveLink serves one connection until it closes. The link's pins are then detached.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -37,7 +37,7 @@
 
 // ServePeers serves other gateways that start while the store can't be read, until ctx ends.
 func (g *Gateway) ServePeers(ctx context.Context, listener net.Listener) error {
-	return enginelink.Accept(ctx, listener, g.logger, g.servePeer)
+	return wire.Accept(ctx, listener, g.logger, g.servePeer)
 }
 
 func (g *Gateway) servePeer(ctx context.Context, conn net.Conn) {
