Release what a gateway holds for a peer when its connection ends

Cause: each connection of a peer left a function behind that waits for the end of the process (context.AfterFunc, never stopped).

What callers saw: nothing until the gateway's memory was exhausted: 8.3 KB a connection, and all its requests end with it.

Change: the goroutine that serves a connection ends with it.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -72,7 +72,11 @@
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
 	}))
 	close(ready)
-	context.AfterFunc(ctx, func() { _ = rpc.Close() })
+	select {
+	case <-rpc.DisconnectNotify():
+	case <-ctx.Done():
+		_ = rpc.Close()
+	}
 }
 
 // syncFromPeers queries peers for the estate and the list of upstreams while they are unknown. It
