Log errors of links through the process's log

Cause: the links between gateways, controllers and peers logged their protocol errors to standard error themselves, before the end of the link was announced. A reader of standard error that stops reading would block them, and the link would count as up.

What callers saw: nothing yet; found by reading, for the processes whose output nobody reads. Not reproduced: such lines are too few to fill a pipe in a test.

Change: they are debug lines of the process's log, as an agent's and an entry's are; a dialled peer's errors are returned by its calls.

Result: tests of packages gateway, controller and enginelink pass.

--- a/controller/gatewaylink.go
+++ b/controller/gatewaylink.go
@@ -11,6 +11,7 @@
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/crash"
 	"sandbarrow.example/sandbarrow/enginelink"
+	"sandbarrow.example/sandbarrow/logging"
 	"sandbarrow.example/sandbarrow/throttle"
 	"sandbarrow.example/sandbarrow/wire"
 )
@@ -62,7 +63,7 @@
 	l.rpc = jsonrpc2.NewConn(ctx, l.stream, wire.Handler(func(ctx context.Context, r *jsonrpc2.Request) (any, error) {
 		<-ready
 		return l.handle(ctx, r)
-	}))
+	}), jsonrpc2.SetLogger(logging.NewPrinter(c.logger, "jsonrpc2")))
 	close(ready)
 	c.mu.Lock()
 	c.links[l] = true
--- a/enginelink/dial.go
+++ b/enginelink/dial.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"log"
 	"net"
 	"time"
 
@@ -21,5 +23,5 @@
 	}
 	return jsonrpc2.NewConn(ctx, wire.NewStream(conn), wire.Handler(func(_ context.Context, r *jsonrpc2.Request) (any, error) {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
-	})), nil
+	}), jsonrpc2.SetLogger(log.New(io.Discard, "", 0))), nil // its calls return the errors
 }
--- a/gateway/controllerlink.go
+++ b/gateway/controllerlink.go
@@ -18,6 +18,7 @@
 	"sandbarrow.example/sandbarrow/forward"
 	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/internal/pause"
+	"sandbarrow.example/sandbarrow/logging"
 	"sandbarrow.example/sandbarrow/wire"
 )
 
@@ -69,7 +70,7 @@
 	rpc = jsonrpc2.NewConn(ctx, stream, wire.Handler(func(_ context.Context, r *jsonrpc2.Request) (any, error) {
 		<-ready
 		return l.handle(ctx, rpc, r)
-	}))
+	}), jsonrpc2.SetLogger(logging.NewPrinter(l.gateway.logger, "jsonrpc2")))
 	defer rpc.Close()
 	l.mu.Lock()
 	l.reconnect(rpc)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -12,6 +12,7 @@
 	"sandbarrow.example/sandbarrow/enginelink"
 	"sandbarrow.example/sandbarrow/forward"
 	"sandbarrow.example/sandbarrow/internal/pause"
+	"sandbarrow.example/sandbarrow/logging"
 	"sandbarrow.example/sandbarrow/wire"
 )
 
@@ -70,7 +71,7 @@
 			return reply, err
 		}
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
-	}))
+	}), jsonrpc2.SetLogger(logging.NewPrinter(g.logger, "jsonrpc2")))
 	close(ready)
 	select {
 	case <-rpc.DisconnectNotify():
