Take no standstill of the gateway for one of an upstream

Cause: the watch of a stream's progress compares the time of the last event that was read. While the process stands still, as it parses a large table on a box of 0.3 cores, events wait unread in the socket, and the first check afterwards ends the stream as stalled.

TestStandstillOfThisProcessIsNoStall has the rule; no test of real processes: bytes and clock of one process can't be stopped apart in a test.

Change: a stream is not stalled while bytes of its upstream wait to be read, nor at a check that comes late itself.

Result: the test passes.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"sandbarrow.example/sandbarrow/internal/socket"
 )
 
 const (
@@ -42,6 +44,9 @@
 	AllowSend func() bool
 	// Target is the path and query, without any change to its encoding.
 	Target string
+	// Watch is called before the request is written, unless it is nil. received reports whether the
+	// upstream has sent bytes that have not been read yet; it may be called at any time.
+	Watch func(received func() bool)
 }
 
 // UpstreamResponse is a response whose header has been read. It must be closed.
@@ -76,6 +81,9 @@
 		return nil, errors.Annotate(ErrNotSent, "AllowSend returned false")
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	if r.Watch != nil {
+		r.Watch(func() bool { return socket.Look(c.Conn) == socket.Bytes })
+	}
 	rs := &UpstreamResponse{conn: c, counter: r.Hold, pool: p, stopCancel: stop}
 	if err := rs.write(r); err != nil {
 		rs.Close()
--- a/gateway/callsend.go
+++ b/gateway/callsend.go
@@ -59,14 +59,18 @@
 }
 
 // send sends the request to an upstream, unless the upstream accepts no requests by the time the
-// connection is ready. It returns the time at which it began, and counts requests that were sent.
-func (c *call) send(ctx context.Context, in *sandbarrow.Instance, version sandbarrow.AdapterVersion) (*forward.UpstreamResponse, time.Time, error) {
+// connection is ready. It returns the time at which it began, and counts requests that were sent. p
+// follows the progress of a stream; it is nil for others.
+func (c *call) send(ctx context.Context, in *sandbarrow.Instance, version sandbarrow.AdapterVersion, p *progress) (*forward.UpstreamResponse, time.Time, error) {
 	began := boottime.Now()
 	notice := c.gateway.upstreams.notice(began, in.ID)
 	namedLimit, limited := c.gateway.upstreams.limitInForce(in.ID)
 	request := c.upstreamRequest(in, version)
 	c.memory.response = 0
 	request.Hold = func(bytes int) error { return c.memory.await(ctx, int64(bytes)) }
+	if p != nil {
+		request.Watch = func(received func() bool) { p.received.Store(&received) }
+	}
 	a, err := c.gateway.pool(in).Send(ctx, request)
 	if errors.Is(err, forward.ErrNotSent) {
 		c.gateway.upstreams.recordUnsent(in, err)
--- a/gateway/progress.go
+++ b/gateway/progress.go
@@ -34,6 +34,9 @@
 	// at is the time of the last progress, as the monotonic time since start.
 	at    atomic.Int64
 	begun atomic.Bool
+	// received reports whether the upstream has sent bytes that have not been read; nil before the
+	// request is sent.
+	received atomic.Pointer[func() bool]
 	// firstEvent is when the first event arrived. proven is set once events have arrived for
 	// minProvenRun. Only the goroutine that reads the events uses both.
 	firstEvent time.Time
@@ -78,6 +81,22 @@
 	return firstEventTimeout + speed.PrefillTime(waitingTokens)
 }
 
+// hasUnread reports whether the upstream has sent bytes that this process has not read.
+func (p *progress) hasUnread() bool {
+	received := p.received.Load()
+	return received != nil && (*received)()
+}
+
+// isStalled decides whether an upstream's stream has stalled. A standstill of this process, as while
+// it parses a large table on a small box, is not one of the upstream.
+//
+// Inputs: the time without progress and the timeout for it; the time since the last check, which is
+// longer than the interval of the checks if this process has stood still; and whether bytes of the
+// upstream wait to be read. The last two are of now.
+func isStalled(without, timeout, sinceCheck time.Duration, unread bool) bool {
+	return without > timeout && sinceCheck < 2*progressCheckInterval && !unread
+}
+
 // watchProgress cancels an attempt that makes no progress, if the request may be sent to
 // another engine.
 func (c *call) watchProgress(ctx context.Context, cancel context.CancelCauseFunc, e *candidate, p *progress) {
@@ -86,14 +105,18 @@
 	}
 	ticker := time.NewTicker(progressCheckInterval)
 	defer ticker.Stop()
+	checked := time.Now()
 	for {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
 		}
+		sinceCheck := time.Since(checked)
+		checked = time.Now()
 		status, linked := e.link.lastStatus(boottime.Now())
-		if p.sinceLast() > stallTimeout(p.begun.Load(), e.link.waitingTokens(c.priority()), statusSpeed(&status), linked && status.EngineUnreachable) {
+		timeout := stallTimeout(p.begun.Load(), e.link.waitingTokens(c.priority()), statusSpeed(&status), linked && status.EngineUnreachable)
+		if isStalled(p.sinceLast(), timeout, sinceCheck, p.hasUnread()) {
 			cancel(errStalled)
 			return
 		}
--- a/gateway/progress_test.go
+++ b/gateway/progress_test.go
@@ -30,3 +30,12 @@
 	assert.Equal(t, c.failAttempt(ctx, resultBroken, io.ErrUnexpectedEOF), resultBroken)
 	assert.Equal(t, c.cause, error(errStalled))
 }
+
+func TestStandstillOfThisProcessIsNoStall(t *testing.T) {
+	const timeout = nextEventTimeout
+	onTime := progressCheckInterval + 5*time.Millisecond
+	assert.Assert(t, isStalled(timeout+1, timeout, onTime, false))
+	assert.Assert(t, !isStalled(timeout, timeout, onTime, false))
+	assert.Assert(t, !isStalled(2*timeout, timeout, onTime, true), "bytes wait to be read")
+	assert.Assert(t, !isStalled(2*timeout, timeout, timeout, false), "this process stood still")
+}
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -261,7 +261,7 @@
 
 // runEngine sends the request of one attempt and handles the response.
 func (c *call) runEngine(ctx context.Context, e *candidate, version sandbarrow.AdapterVersion, p *progress) attemptResult {
-	a, sent, err := c.send(ctx, e.instance, version)
+	a, sent, err := c.send(ctx, e.instance, version, p)
 	switch {
 	case errors.Is(err, forward.ErrNotSent):
 		return c.failAttempt(ctx, resultNotSent, err)
--- a/gateway/serveplain.go
+++ b/gateway/serveplain.go
@@ -162,7 +162,7 @@
 
 // exchange sends the request of one attempt and reads the response.
 func (c *call) exchange(ctx context.Context, in *sandbarrow.Instance) (*completeResponse, error) {
-	a, sent, err := c.send(ctx, in, 0)
+	a, sent, err := c.send(ctx, in, 0, nil)
 	if err != nil {
 		return nil, err
 	}
