--- a/internal/cmd/agentcmd.go
+++ b/internal/cmd/agentcmd.go
@@ -24,7 +24,7 @@
 
 // Execute runs the command.
 func (c *agentCmd) Execute([]string) error {
-	ignoreBrokenOutput()
+	hangups := takeSignals()
 	setGCPercent()
 	s, err := settings.Load(c.Settings)
 	if err != nil {
@@ -48,6 +48,7 @@
 		return errors.Annotatef(err, "listen.http %s", s.Listen.HTTP)
 	}
 	log.logger.Info("agent started", "rpc", a.Address(), "http", listener.Addr().String(), "upstream", string(s.Agent.Upstream.ID))
+	go reloadLoop(c.ctx, log.logger, c.Settings, hangups)
 	err = serveAgent(c.ctx, a, listener, registry)
 	logEnd(c.ctx, log.logger, "agent", err)
 	return err
--- a/internal/cmd/controllercmd.go
+++ b/internal/cmd/controllercmd.go
@@ -24,9 +24,9 @@
 
 // Execute runs the command.
 func (c *controllerCmd) Execute([]string) error {
-	ignoreBrokenOutput()
+	hangups := takeSignals()
 	setGCPercent()
-	d, err := newDaemon(c.Settings, c.out.stdout)
+	d, err := newDaemon(c.Settings, c.out.stdout, hangups)
 	if err != nil {
 		return err
 	}
--- a/internal/cmd/daemon.go
+++ b/internal/cmd/daemon.go
@@ -7,8 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -31,6 +29,7 @@
 // daemon holds the settings, log and metrics of a gateway or controller process.
 type daemon struct {
 	file     string
+	hangups  <-chan os.Signal
 	logger   *slog.Logger
 	log      *processLog
 	registry *prometheus.Registry
@@ -38,12 +37,12 @@
 }
 
 // newDaemon reads the settings and creates the logger and the metrics registry.
-func newDaemon(file string, w io.Writer) (*daemon, error) {
+func newDaemon(file string, w io.Writer, hangups <-chan os.Signal) (*daemon, error) {
 	s, err := settings.Load(file)
 	if err != nil {
 		return nil, err
 	}
-	d := &daemon{file: file, registry: prometheus.NewRegistry(), settings: s}
+	d := &daemon{file: file, hangups: hangups, registry: prometheus.NewRegistry(), settings: s}
 	if d.log, err = startLog(w, s, d.registry); err != nil {
 		return nil, err
 	}
@@ -67,7 +66,7 @@
 		return serveHTTP(background, metrics, promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
 	})
 	group.Go(func() error {
-		d.reloadLoop(background)
+		reloadLoop(background, d.logger, d.file, d.hangups)
 		return nil
 	})
 	group.Go(func() error {
@@ -92,26 +91,6 @@
 	return d.settings.Gateway.MemoryMB
 }
 
-// reloadLoop reads and validates the settings file on each SIGHUP and logs the result. The process
-// keeps the settings it started with; new ones take effect at the next start.
-func (d *daemon) reloadLoop(ctx context.Context) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-signals:
-			if _, err := settings.Load(d.file); err != nil {
-				d.logger.Error("settings refused, the last ones stay", "settings", d.file, "error", err.Error())
-				continue
-			}
-			d.logger.Info("settings read again", "settings", d.file)
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // serveHTTP serves a handler until ctx ends.
 func serveHTTP(ctx context.Context, listener net.Listener, h http.Handler) error {
 	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
--- a/internal/cmd/entrycmd.go
+++ b/internal/cmd/entrycmd.go
@@ -20,7 +20,7 @@
 
 // Execute runs the command.
 func (c *entryCmd) Execute([]string) error {
-	ignoreBrokenOutput()
+	hangups := takeSignals()
 	setGCPercent()
 	s, err := settings.Load(c.Settings)
 	if err != nil {
@@ -40,6 +40,7 @@
 		return err
 	}
 	log.logger.Info("entry started", "http", e.Address())
+	go reloadLoop(c.ctx, log.logger, c.Settings, hangups)
 	err = e.Run(c.ctx)
 	logEnd(c.ctx, log.logger, "entry", err)
 	return err
--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -25,9 +25,9 @@
 
 // Execute runs the command.
 func (c *gatewayCmd) Execute([]string) error {
-	ignoreBrokenOutput()
+	hangups := takeSignals()
 	setGCPercent()
-	d, err := newDaemon(c.Settings, c.out.stdout)
+	d, err := newDaemon(c.Settings, c.out.stdout, hangups)
 	if err != nil {
 		return err
 	}
