Resume no unnamed stream from what a restarted gateway has not seen

Cause: a caller that resumes a stream without naming it may do so while only one software version is known. The list of a gateway that has just started tells nothing of upstreams that left it before. The four keepers that it asked are those of the new request; each stream is kept at two, so that a version with few streams left is often unknown to the four.

Evidence: TestUnnamedStreamOfSoftwareThatLeftIsRefusedAfterRestart.

Change: for a minute after its start a gateway asks all controllers, once for each service and version. All but one must reply, and none may know a stream of another version. Without controllers it refuses: gateways that kept the streams may have been killed with it.

--- a/directory/software.go
+++ b/directory/software.go
@@ -7,9 +7,9 @@
 	"sandbarrow.example/sandbarrow/internal/boottime"
 )
 
-// softwareRetention is how long a software version counts that is no longer listed. Streams that began
+// SoftwareRetention is how long a software version counts that is no longer listed. Streams that began
 // with it live no longer.
-const softwareRetention = time.Minute
+const SoftwareRetention = time.Minute
 
 // listedSoftware is a software version of a service.
 type listedSoftware struct {
@@ -18,7 +18,7 @@
 }
 
 // OnlySoftware returns the software version of all upstreams of a service that are listed, or were
-// within softwareRetention. It returns "" if there are several, or if that of any upstream is unknown.
+// within SoftwareRetention. It returns "" if there are several, or if that of any upstream is unknown.
 func (d *Directory) OnlySoftware(id sandbarrow.ServiceID) sandbarrow.SoftwareVersion {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -36,7 +36,7 @@
 	}
 	now := boottime.Now()
 	for s, at := range d.formerSoftware {
-		if s.service == id && s.software != only && now.Sub(at) < softwareRetention {
+		if s.service == id && s.software != only && now.Sub(at) < SoftwareRetention {
 			return ""
 		}
 	}
@@ -48,7 +48,7 @@
 func (d *Directory) recordSoftware(in *sandbarrow.Instance) {
 	now := boottime.Now()
 	for s, at := range d.formerSoftware {
-		if now.Sub(at) >= softwareRetention {
+		if now.Sub(at) >= SoftwareRetention {
 			delete(d.formerSoftware, s)
 		}
 	}
--- a/directory/software_test.go
+++ b/directory/software_test.go
@@ -23,7 +23,7 @@
 	put(4, "a", "v2")
 	assert.Equal(t, d.OnlySoftware("s"), sandbarrow.SoftwareVersion(""), "streams that began with v1 may still be resumed")
 	for s, at := range d.formerSoftware {
-		d.formerSoftware[s] = at.Add(-softwareRetention)
+		d.formerSoftware[s] = at.Add(-SoftwareRetention)
 	}
 	assert.Equal(t, d.OnlySoftware("s"), sandbarrow.SoftwareVersion("v2"))
 	put(5, "c", "")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -148,6 +148,7 @@
 	permits    *sendPermits
 	// plainPermits requests permits for contended plain upstreams.
 	plainPermits *plainPermits
+	software     *softwareHistory
 	started      time.Time
 	stopping     atomic.Pointer[time.Time]
 	upstreams    *upstreams
@@ -185,6 +186,7 @@
 	g.permits = newSendPermits(g)
 	g.origins = sendkeepers.NewOrigins(g.permits.coordinators, &g.ownOrigins)
 	g.plainPermits = newPlainPermits(g)
+	g.software = newSoftwareHistory(g)
 	g.upstreams = &upstreams{gateway: g, waiting: map[sandbarrow.InstanceID]*waits{}}
 	c.Metrics.MustRegister(
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/gateway/streamorigin.go
+++ b/gateway/streamorigin.go
@@ -56,13 +56,14 @@
 
 // lookUpOrigin returns where the stream began that the request resumes, or false if that is not known.
 // A caller that does not name the stream may resume it while only one software version is known:
-// none other in the list for some time, nor of any stream that the keepers of this request know.
+// none other in the list for some time, nor of any stream that the keepers of this request know, nor,
+// after a start, of any stream at all.
 func (c *call) lookUpOrigin(ctx context.Context) (origin.Origin, bool) {
 	if c.resumes != "" {
 		return c.gateway.origins.Find(ctx, c.resumes)
 	}
 	only := origin.Origin{Service: c.service.ID, Software: c.gateway.directory.OnlySoftware(c.service.ID)}
-	return only, only.Software != "" && c.gateway.origins.IsOnly(ctx, sandbarrow.RequestID(c.id), only)
+	return only, only.Software != "" && c.gateway.origins.IsOnly(ctx, sandbarrow.RequestID(c.id), only) && c.gateway.software.isOnly(ctx, only)
 }
 
 // useServiceOfOrigin makes a resumed stream go on at the service with which it began, if the route
--- a/gateway/streamorigin_test.go
+++ b/gateway/streamorigin_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -131,6 +132,21 @@
 	eventually(t, func() bool { return f.resume(t, "", "2").status == http.StatusServiceUnavailable })
 }
 
+func TestUnnamedStreamOfSoftwareThatLeftIsRefusedAfterRestart(t *testing.T) {
+	f := newVersionedFleet(t, "v2", "v2", "v2", "v2", "v2", "v2", "v2", "v2")
+	f.healAll()
+	f.gateway.origins.Record(enginelink.StreamBegan{ID: "r1", LifetimeMS: 10_000, Service: testEngines, Software: "v1"})
+	f.moveToNewGateway(t)
+	for i := range 30 {
+		header := map[string]string{testNames.RequestID: fmt.Sprintf("again-%d", i), testNames.LastEvent: "2"}
+		for name, value := range adapterHeader {
+			header[name] = value
+		}
+		got := f.send(t.Context(), http.MethodPost, "/s/", header)
+		assert.Check(t, got.status == http.StatusServiceUnavailable, "take-up %d got %d", i, got.status)
+	}
+}
+
 func TestResumeIsRefusedAtOnceWithoutUpstreamOfItsSoftware(t *testing.T) {
 	f := newVersionedFleet(t, "v1", "v2")
 	f.gateway.origins.Record(enginelink.StreamBegan{ID: "r1", LifetimeMS: 5000, Service: testEngines, Software: "v3"})
--- a/sendkeepers/origins.go
+++ b/sendkeepers/origins.go
@@ -92,9 +92,35 @@
 	return replied
 }
 
-// ask asks the keepers of a stream side by side, and yields the replies as they arrive until ctx ends.
+// IsOnlyAmong reports whether no stream of a service is known that began with other software, at any of
+// so many controllers. Fewer than recordedAt of them may not reply, since another one then keeps each
+// stream. It returns false if there is no controller: gateways may have been lost together.
+func (o *Origins) IsOnlyAmong(ctx context.Context, controllers int, only origin.Origin) bool {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	var keepers []OriginKeeper
+	for _, c := range o.coordinators.config.Controllers() {
+		if keeper, ok := c.(OriginKeeper); ok {
+			keepers = append(keepers, keeper)
+		}
+	}
+	replied := 0
+	for reply := range o.askAll(ctx, keepers, enginelink.FindStream{Service: only.Service, Software: only.Software}) {
+		if reply.Others {
+			return false
+		}
+		replied++
+	}
+	return replied > 0 && replied > controllers-recordedAt
+}
+
+// ask asks the keepers of a stream.
 func (o *Origins) ask(ctx context.Context, id sandbarrow.RequestID, q enginelink.FindStream) iter.Seq[enginelink.StreamOrigin] {
-	keepers := o.keepers(id, askedAt)
+	return o.askAll(ctx, o.keepers(id, askedAt), q)
+}
+
+// askAll asks keepers side by side, and yields the replies as they arrive until ctx ends.
+func (o *Origins) askAll(ctx context.Context, keepers []OriginKeeper, q enginelink.FindStream) iter.Seq[enginelink.StreamOrigin] {
 	replies := make(chan *enginelink.StreamOrigin, len(keepers))
 	for _, keeper := range keepers {
 		go func() { // ends with ctx
--- a/sendkeepers/origins_test.go
+++ b/sendkeepers/origins_test.go
@@ -13,6 +13,7 @@
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
 	"sandbarrow.example/sandbarrow/internal/boottime"
+	"sandbarrow.example/sandbarrow/origin"
 )
 
 // fakeKeeper is a controller that keeps where streams began.
@@ -102,6 +103,29 @@
 	assert.Assert(t, !gateway().IsOnly(t.Context(), "another", known.Origin()))
 }
 
+func TestOnlySoftwareIsConcludedFromAllControllersButOne(t *testing.T) {
+	const controllers = 9
+	only := origin.Origin{Service: "s", Software: "v1"}
+	for i := range 2 * controllers {
+		keepers, gateway := newFakeKeepers(controllers)
+		other := began(i)
+		assert.Assert(t, gateway().IsOnlyAmong(t.Context(), controllers, only))
+		other.Software = "v2"
+		gateway().Record(other)
+		assert.Assert(t, !gateway().IsOnlyAmong(t.Context(), controllers, only), "stream %d", i)
+		keepers[i%controllers].down = true
+		assert.Assert(t, !gateway().IsOnlyAmong(t.Context(), controllers, only), "stream %d, a keeper is down", i)
+	}
+	keepers, gateway := newFakeKeepers(controllers)
+	keepers[0].down = true
+	assert.Assert(t, gateway().IsOnlyAmong(t.Context(), controllers, only))
+	assert.Assert(t, !gateway().IsOnlyAmong(t.Context(), controllers+1, only), "another controller is not linked")
+	keepers[1].down = true
+	assert.Assert(t, !gateway().IsOnlyAmong(t.Context(), controllers, only))
+	_, alone := newFakeKeepers(0)
+	assert.Assert(t, !alone().IsOnlyAmong(t.Context(), 0, only))
+}
+
 func TestUnknownStreamIsKnownToBeSoAtOnce(t *testing.T) {
 	_, gateway := newFakeKeepers(12)
 	started := time.Now()
