--- a/forward/body.go
+++ b/forward/body.go
@@ -59,8 +59,7 @@
 	b.chunks = nil
 }
 
-// hold counts what the next chunk takes. The first time, it counts what the whole body takes, if its
-// length is known and not too large.
+// hold counts what the next chunk takes, or up to maxHoldBytes of a body whose length is known.
 func (b *bodyReader) hold() error {
 	more := BodyHoldFactor*(b.size+chunkBytes) - b.held
 	if more <= 0 {
@@ -90,9 +89,6 @@
 
 // read reads the body to its end.
 func (b *bodyReader) read() error {
-	if b.response.resp.ContentLength > int64(b.limit) {
-		return b.tooLarge()
-	}
 	for {
 		if _, err := b.response.body.Peek(1); err != nil {
 			if err == io.EOF {
@@ -100,8 +96,8 @@
 			}
 			return err
 		}
-		if b.size >= b.limit {
-			return b.tooLarge()
+		if b.size >= b.limit || b.response.resp.ContentLength > int64(b.limit) {
+			return &TooLargeError{Limit: int64(b.limit), Part: PartBody, Unit: "bytes"}
 		}
 		filled := b.size % chunkBytes
 		if filled == 0 {
@@ -118,10 +114,6 @@
 	}
 }
 
-func (b *bodyReader) tooLarge() error {
-	return &TooLargeError{Limit: int64(b.limit), Part: PartBody, Unit: "bytes"}
-}
-
 // Event reads one complete event of a stream, including the empty line at its end. It returns
 // io.EOF when the stream is complete. The event counts as held until the next call or Close.
 func (rs *UpstreamResponse) Event() ([]byte, error) {
