Let the server end its side of a connection before it closes it

Cause: a connection that decides whether it is idle hid that of the system from the server, which then could not end its own side where it leaves a part of a request unread.

Change: the connection passes CloseWrite on. TestCallerSeesEndOfWritesBeforeClose does not compile without it.

--- a/httpserve/conn.go
+++ b/httpserve/conn.go
@@ -74,6 +74,15 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite ends the side that is written to. The server calls it where it leaves a part of a request
+// unread, so that the caller gets the response before the connection is reset.
+func (c *Conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
 // Read reads from the connection. Bytes that arrive as closeIfIdle closes it are not returned, so that
 // no request is served whose response can't be written.
 func (c *Conn) Read(p []byte) (int, error) {
--- a/httpserve/idlecloser_test.go
+++ b/httpserve/idlecloser_test.go
@@ -139,6 +139,19 @@
 	assert.Equal(t, near.Use().Closed, ClosedForStop)
 }
 
+func TestCallerSeesEndOfWritesBeforeClose(t *testing.T) {
+	near, far := tcpPair(t)
+	var server interface{ CloseWrite() error } = near
+	assert.NilError(t, server.CloseWrite())
+	_, err := far.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+	assert.Equal(t, near.Use().Closed, CloseCause(""))
+	_, err = io.WriteString(far, "x")
+	assert.NilError(t, err)
+	_, err = near.Read(make([]byte, 1))
+	assert.NilError(t, err, "the other side is open")
+}
+
 // lateConn returns what it has read after a delay, as where the process stands still in between.
 type lateConn struct {
 	net.Conn
