Halve what messages that are being read may hold together

Cause: the sum of messages in progress was bounded to 32 MiB, a fifth of the smallest box, while the garbage collector lets a heap grow to some times what is live. A gateway whose store writes without end reached 160 to 169 MiB of 160.

--- a/boxlist/httplist.go
+++ b/boxlist/httplist.go
@@ -17,7 +17,7 @@
 	// callTimeout bounds one read of the list.
 	callTimeout = time.Second
 	// maxListBytes bounds the list.
-	maxListBytes = 8 << 20
+	maxListBytes = 4 << 20
 )
 
 // HTTP reads the platform's list of boxes over HTTP.
--- a/internal/readbudget/readbudget.go
+++ b/internal/readbudget/readbudget.go
@@ -14,8 +14,8 @@
 const (
 	// freeBytes is the part of each message that is not counted.
 	freeBytes = 64 << 10
-	// totalBytes bounds what all messages hold beyond that. It is a fifth of the smallest box.
-	totalBytes = 32 << 20
+	// totalBytes bounds what all messages hold beyond that. It is a tenth of the smallest box: the garbage collector lets the heap grow to some times that.
+	totalBytes = 16 << 20
 	// unknownBytes and announcedBytes are the memory of a message at first, by whether its length is known.
 	unknownBytes   = 512
 	announcedBytes = 4 << 10
