--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -56,7 +56,7 @@
 
 	body *bufio.Reader
 	conn *conn
-	// counter counts held bytes. heldHead and heldEvent are those of the head and of the last event.
+	// counter is the request's Hold. heldHead and heldEvent are what the head and the last event hold.
 	counter             func(bytes int) error
 	heldHead, heldEvent int
 	pool                *Pool
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -1,7 +1,7 @@
 // Package forward sends requests to upstreams over persistent HTTP connections. It distinguishes
 // requests that were not sent, requests without a complete response, and complete responses. It
 // owns the connections to upstreams, with one Pool for each upstream, and the rules for which headers
-// are forwarded. It depends on no decision of the system. The gateway uses it. A Pool is safe
+// are forwarded. It knows nothing of the system's decisions. The gateway uses it. A Pool is safe
 // for concurrent use, an UpstreamResponse is not.
 package forward
 
--- a/httpserve/conn.go
+++ b/httpserve/conn.go
@@ -42,14 +42,15 @@
 
 	mu    sync.Mutex
 	cause CloseCause
-	// idleSince is when the server last waited for a request; zero during a request.
+	// idleSince is when the server last began to wait for a request.
 	idleSince time.Time
 	lastRead  time.Time
 	// reading is set while the server waits for bytes. All bytes before them have then been consumed
 	// by its requests, or are the incomplete header of the next one.
 	reading  bool
 	requests int
-	rested   time.Duration
+	// rested is how long the server waited for the current request.
+	rested time.Duration
 	// unanswered is set once bytes have been read after the beginning of the last response.
 	unanswered bool
 }
@@ -60,7 +61,7 @@
 	Closed CloseCause
 	// Requests is the number of requests that it has carried, the current one included.
 	Requests int
-	// Rested is how long it was idle before the current request.
+	// Rested is how long it was idle before the current request, the arrival of whose header included.
 	Rested time.Duration
 }
 
--- a/internal/cmd/lifetime.go
+++ b/internal/cmd/lifetime.go
@@ -63,7 +63,8 @@
 	}
 }
 
-// residentBytes returns the memory that the Go runtime has and has not returned to the system.
+// residentBytes returns the memory that the Go runtime has and has not returned to the system. What the
+// kernel holds for the process's connections is not in it.
 func residentBytes() uint64 {
 	samples := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
 	metrics.Read(samples)
--- a/wire/accept.go
+++ b/wire/accept.go
@@ -13,8 +13,8 @@
 const (
 	// acceptRetryDelay is the pause after a failed accept.
 	acceptRetryDelay = 50 * time.Millisecond
-	// maxConnections bounds the connections of a listener: each holds some 20 KiB, and other processes
-	// than those of this system may open them.
+	// maxConnections bounds the connections of a listener, since others than this system's processes may
+	// open them. It leaves room for two of each gateway in a fleet of a thousand.
 	maxConnections = 2048
 )
 
