Tell of each request in a planned stop when it came and how it ended

Nothing that was logged told apart how requests are lost around SIGTERM: a request line didn't say when in the stop its request came, on what connection, how much time it had and how far its upstream was, and a request that was cut had no line if the process ended first.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -59,6 +59,8 @@
 	failure *completeResponse
 	// cause is why the last attempt at an engine failed, for its log line and metrics.
 	cause error
+	// phase is how far the upstream of the last attempt is; "" before the first.
+	phase upstreamPhase
 }
 
 // streamState is the state of a streamed response.
--- a/gateway/calllog.go
+++ b/gateway/calllog.go
@@ -39,7 +39,8 @@
 	if why != "" {
 		level = slog.LevelWarn
 	}
-	c.gateway.logger.LogAttrs(context.Background(), level, "request", c.attributes(status, why, took)...)
+	attrs := append(c.attributes(status, why, took), c.recordStop(status, why)...)
+	c.gateway.logger.LogAttrs(context.Background(), level, "request", attrs...)
 }
 
 // attributes returns the log attributes of the end of the call and its reasons.
--- a/gateway/callsend.go
+++ b/gateway/callsend.go
@@ -77,6 +77,10 @@
 		return nil, began, err
 	}
 	c.sent++
+	c.phase = phaseWaiting
+	if err == nil {
+		c.phase = phaseResponding
+	}
 	c.lastUpstream, c.lastSoftware, c.namedLimit, c.notice = in.ID, in.Software, float64(namedLimit.Rate), notice
 	c.gateway.metrics.blockedSend(in.Service, &notice)
 	if limited {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -150,7 +150,7 @@
 	plainPermits *plainPermits
 	software     *softwareHistory
 	started      time.Time
-	stopping     atomic.Pointer[time.Time]
+	stopping     atomic.Pointer[plannedStop]
 	upstreams    *upstreams
 
 	mu    sync.Mutex
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -30,6 +30,7 @@
 	requestSeconds    *prometheus.HistogramVec
 	sent              *prometheus.CounterVec
 	stalledCallers    prometheus.Counter
+	stopRequests      *prometheus.CounterVec
 	unrecordedStreams prometheus.Counter
 }
 
@@ -84,11 +85,14 @@
 		stalledCallers: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "sandbarrow_gateway_stalled_callers_total", Help: "Callers that were disconnected because they read nothing of their response for too long.",
 		}),
+		stopRequests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sandbarrow_gateway_stop_requests_total", Help: "Requests that ended in a planned stop, by the connection on which they came, how they ended, and how far their upstream was.",
+		}, []string{"connection", "outcome", "upstream"}),
 		unrecordedStreams: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "sandbarrow_gateway_unrecorded_streams_total", Help: "Streams of which no other process was told where they began.",
 		}),
 	}
-	r.MustRegister(m.blockedSends, m.exits, m.firstEventSeconds, m.loadClaims, m.permitRequests, m.limitedSends, m.moves, m.oversized, m.panics, m.quota, m.quotaRequests, m.requests, m.requestSeconds, m.resumes, m.sent, m.stalledCallers, m.unrecordedStreams)
+	r.MustRegister(m.blockedSends, m.exits, m.firstEventSeconds, m.loadClaims, m.permitRequests, m.limitedSends, m.moves, m.oversized, m.panics, m.quota, m.quotaRequests, m.requests, m.requestSeconds, m.resumes, m.sent, m.stalledCallers, m.stopRequests, m.unrecordedStreams)
 	return m
 }
 
--- a/gateway/passresponse.go
+++ b/gateway/passresponse.go
@@ -26,6 +26,7 @@
 	if err != nil {
 		return c.failAttempt(ctx, resultBroken, err)
 	}
+	c.phase = phaseResponded
 	if c.committed {
 		return c.failAttempt(ctx, resultBroken, errors.Errorf("status %d instead of the rest of a stream", a.Status))
 	}
@@ -47,6 +48,7 @@
 	for {
 		event, err := a.Event()
 		if err == io.EOF && c.committed {
+			c.phase = phaseResponded
 			c.ran++
 			c.recordResponse(a)
 			c.finish(a.Status, "")
--- a/gateway/serveplain.go
+++ b/gateway/serveplain.go
@@ -172,6 +172,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.phase = phaseResponded
 	if isStream(a) && !forward.EndsWithEvent(body) {
 		return nil, errEventTruncated
 	}
--- /dev/null
+++ b/gateway/stoplog.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"log/slog"
+
+	"sandbarrow.example/sandbarrow/httpserve"
+)
+
+// upstreamPhase is how far the upstream of a call's last attempt is known to be.
+type upstreamPhase string
+
+// The phases of an upstream.
+const (
+	// phaseNotSent is a call that no upstream has received.
+	phaseNotSent upstreamPhase = "not-sent"
+	// phaseWaiting is an upstream that has the request and has not responded.
+	phaseWaiting upstreamPhase = "waiting"
+	// phaseResponding is an upstream that has sent the header of its response.
+	phaseResponding upstreamPhase = "responding"
+	// phaseResponded is an upstream whose response has been read to its end.
+	phaseResponded upstreamPhase = "responded"
+)
+
+// stopOutcome is how a call ended in a planned stop.
+type stopOutcome string
+
+// The outcomes of a call in a planned stop.
+const (
+	// stopBroken is a call whose response broke off with its upstream's.
+	stopBroken stopOutcome = "broken"
+	// stopCut is a call that ran when the stop ended all that did.
+	stopCut stopOutcome = "cut"
+	// stopFinished is a call that ended with a response of its upstream.
+	stopFinished stopOutcome = "finished"
+	// stopLeft is a call whose caller left or stalled before.
+	stopLeft stopOutcome = "left"
+	// stopRefused is a call that ended with a response of the gateway.
+	stopRefused stopOutcome = "refused"
+)
+
+// The connections on which a call can come.
+const (
+	newConnection  = "new"
+	keptConnection = "kept"
+)
+
+// stopOutcomeOf decides how a call ended in a planned stop.
+//
+// Inputs: the status of its response, 0 without a complete one; why it ended, "" with a response of its
+// upstream; and whether the stop has reached its end.
+func stopOutcomeOf(status int, why reason, ended bool) stopOutcome {
+	switch {
+	case why == "":
+		return stopFinished
+	case ended && status == 0:
+		return stopCut
+	case why == reasonCallerLeft, why == reasonCallerStalled:
+		return stopLeft
+	case status == 0:
+		return stopBroken
+	}
+	return stopRefused
+}
+
+// connectionKind tells whether a call came on a new connection or on a kept one.
+func (c *call) connectionKind() string {
+	if conn := httpserve.RequestConn(c.request); conn != nil && conn.Use().Requests > 1 {
+		return keptConnection
+	}
+	return newConnection
+}
+
+// recordStop counts a call that ended in a planned stop and returns its log attributes; none at other
+// times. They tell when it came, on what connection, how much time it had until its deadline and until
+// the end of the stop, how it ended, and how far its upstream was.
+func (c *call) recordStop(status int, why reason) []slog.Attr {
+	s := c.gateway.stopping.Load()
+	if s == nil {
+		return nil
+	}
+	outcome := stopOutcomeOf(status, why, s.ended())
+	kind, phase := c.connectionKind(), c.phase
+	if phase == "" {
+		phase = phaseNotSent
+	}
+	s.count(outcome)
+	c.gateway.metrics.stopRequests.WithLabelValues(kind, string(outcome), string(phase)).Inc()
+	attrs := []slog.Attr{
+		slog.Int64("stop_arrival_ms", c.began.Sub(s.began).Milliseconds()), slog.Int64("stop_left_ms", s.end.Sub(c.began).Milliseconds()),
+		slog.String("stop_outcome", string(outcome)), slog.String("connection", kind), slog.String("upstream_phase", string(phase)),
+	}
+	if !c.deadline.IsZero() {
+		attrs = append(attrs, slog.Int64("deadline_ms", c.deadline.Sub(c.began).Milliseconds()))
+	}
+	return attrs
+}
