Take on in a planned stop only what can be finished before its end

Cause: a gateway refused only streams late in a planned stop, 2.8 s after SIGTERM whatever its grace. Every other request was passed on until the connections were closed, whatever it needed. Connections that were open then had carried no request yet, or had a long response that began before the signal, so that nothing had told their callers of the stop.

Callers saw unsafe requests end with a closed connection: they may have run, and nobody knows.

Change: a request whose own deadline comes before the end is served; one that may last longer is served while callers can't know of the stop yet, or if it may run again, and if its route's requests usually fit, as learnt; all others are refused at once as not run. The rule is applied again before each send, since a request may have waited. What still runs at the end gets a response, 503 if no upstream has it and 504 else, and the connections are closed a quarter of a second later. Each response in a stop closes its connection, also that of an earlier request. Connections are accepted for no longer than the grace lasts.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -13,7 +13,6 @@
 	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/internal/pause"
 	"sandbarrow.example/sandbarrow/origin"
-	"sandbarrow.example/sandbarrow/route"
 )
 
 // call is one request of a caller: the request itself, the results of its attempts, and the state
@@ -73,8 +72,9 @@
 	resumes sandbarrow.RequestID
 	// events counts the events that have been sent to the caller.
 	events int
-	// stalled is set if the caller read nothing for too long.
-	stalled bool
+	// stalled is set if the caller read nothing for too long, writeFailed if a part of its response could
+	// not be written.
+	stalled, writeFailed bool
 	// first is the time from the start of the call to its first event.
 	first time.Duration
 	// lastEvent is the id of the last event sent to the caller, lastPassed the time at which it was
@@ -95,7 +95,7 @@
 	w.Header()["Date"] = nil
 	congested := g.callers.begin()
 	defer g.callers.end()
-	if _, stopping := g.stopped(); stopping || g.engines.isolated() || congested {
+	if g.stopping.Load() != nil || g.engines.isolated() || congested {
 		w.Header().Set("Connection", "close")
 	}
 	defer c.releaseMemory()
@@ -106,6 +106,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), c.timeLeft())
 	defer cancel()
+	defer context.AfterFunc(g.callers.running, cancel)()
 	if !c.findOrigin(ctx) || !c.acquireQuota(ctx) {
 		return
 	}
@@ -133,15 +134,24 @@
 	return true
 }
 
-// admit refuses a stream that arrives so late in a planned stop that it might not finish before the
-// process exits.
+// admit refuses a request that can't be finished before a planned stop ends. It reports whether the
+// request is admitted.
 func (c *call) admit() bool {
-	after, stopping := c.gateway.stopped()
-	if stopping && after > refuseAfterStop && c.route.Kind == route.KindStream {
-		c.refuse(http.StatusServiceUnavailable, reasonStopping)
-		return false
+	if c.fitsStop() {
+		return true
 	}
-	return true
+	c.refuse(http.StatusServiceUnavailable, reasonStopping)
+	return false
+}
+
+// timeLeft returns the time until the deadline of the call, or until a planned stop ends it if that is
+// earlier.
+func (c *call) timeLeft() time.Duration {
+	left := c.callerRequest.timeLeft()
+	if s := c.gateway.stopping.Load(); s != nil {
+		left = min(left, boottime.Until(s.callsEnd))
+	}
+	return left
 }
 
 // viewWait is the longest wait of a request for the gateway's first configuration and list of
--- a/gateway/callend.go
+++ b/gateway/callend.go
@@ -102,6 +102,15 @@
 	for name, values := range forward.WithoutHopByHop(a.Header) {
 		h[name] = values
 	}
+	c.announceClose()
+}
+
+// announceClose lets the caller know that its connection ends with the response, if the gateway stops.
+// The stop may have begun after the request.
+func (c *call) announceClose() {
+	if c.gateway.stopping.Load() != nil {
+		c.writer.Header().Set("Connection", "close")
+	}
 }
 
 // giveUp ends a call that has no response from an upstream.
@@ -116,6 +125,9 @@
 		return
 	}
 	status, why := endStatus(c.ran, late || ctx.Err() != nil, c.unservedReason(why))
+	if c.endedByStop() {
+		why = reasonStopping
+	}
 	switch why {
 	case reasonContended:
 		c.refuseWithRetryAfter(status, why, c.plain.retryAfter(boottime.Now()))
@@ -154,6 +166,7 @@
 // refuseWithRetryAfter ends the call with a response of the gateway itself. It sets Retry-After if
 // a retry may help.
 func (c *call) refuseWithRetryAfter(status int, why reason, retryIn time.Duration) {
+	c.announceClose()
 	h := c.writer.Header()
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		h.Set("Retry-After", strconv.FormatFloat(retryIn.Seconds(), 'f', 3, 64))
--- a/gateway/callerrequest.go
+++ b/gateway/callerrequest.go
@@ -203,7 +203,7 @@
 func (c *call) upstreamRequest(in *sandbarrow.Instance, version sandbarrow.AdapterVersion) *forward.Request {
 	names := &c.gateway.config.Headers
 	h := c.header.Clone()
-	h.Set(names.Deadline, strconv.FormatInt(max(1, (c.timeLeft()+c.callerDeadline.Sub(c.deadline)).Milliseconds()), 10))
+	h.Set(names.Deadline, strconv.FormatInt(max(1, boottime.Until(c.callerDeadline).Milliseconds()), 10))
 	h.Set(names.ExpectInstance, string(in.ID.Listed()))
 	if c.service.Engine != nil {
 		if c.chosen != nil && c.chosen.move.sourceAddress() != "" {
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -45,6 +45,9 @@
 	open      atomic.Int64
 	pauses    *prometheus.CounterVec
 	roundTrip *ownRoundTrip
+	// running ends when a planned stop ends the requests that still run; endRunning ends it.
+	running    context.Context
+	endRunning context.CancelFunc
 
 	mu sync.Mutex
 	// calls is the number of requests in progress.
@@ -65,6 +68,7 @@
 			Name: "sandbarrow_gateway_closed_connections_total", Help: "Connections of callers that ended, by the side that closed them or the rule of the gateway by which it did.",
 		}, []string{"cause"}),
 	}
+	c.running, c.endRunning = context.WithCancel(context.Background())
 	g.config.Metrics.MustRegister(c.closed, c.pauses, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "sandbarrow_gateway_caller_connections", Help: "Open connections of callers.",
 	}, func() float64 { return float64(c.open.Load()) }))
--- a/gateway/callerwrite.go
+++ b/gateway/callerwrite.go
@@ -65,6 +65,7 @@
 // recordWriteError records whether a write failed because the caller read nothing. The server has
 // then cancelled the request's context, as after a disconnect.
 func (c *call) recordWriteError(err error) error {
+	c.writeFailed = true
 	if errors.Is(err, os.ErrDeadlineExceeded) && !c.stalled {
 		c.stalled = true
 		c.gateway.metrics.stalledCallers.Inc()
--- a/gateway/calllog.go
+++ b/gateway/calllog.go
@@ -35,6 +35,9 @@
 	c.extendWriteDeadline() // for what the server writes after the handler
 	took := c.elapsed()
 	c.gateway.metrics.finished(c, status, why, took)
+	if c.sent > 0 && (why == "" || why == reasonDeadline) {
+		c.gateway.routeTimes.observe(c.route.Name, took)
+	}
 	level := slog.LevelInfo
 	if why != "" {
 		level = slog.LevelWarn
--- a/gateway/fatalrequest.go
+++ b/gateway/fatalrequest.go
@@ -61,6 +61,9 @@
 	if c.crashesUpstreams() {
 		return reasonCrashesUpstreams
 	}
+	if !c.committed && !c.fitsStop() {
+		return reasonStopping
+	}
 	return ""
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -148,6 +148,7 @@
 	permits    *sendPermits
 	// plainPermits requests permits for contended plain upstreams.
 	plainPermits *plainPermits
+	routeTimes   routeTimes
 	software     *softwareHistory
 	started      time.Time
 	stopping     atomic.Pointer[plannedStop]
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -16,11 +16,11 @@
 	// DefaultAcceptAfterStop is how long a stopping gateway accepts new connections. By then the
 	// load balancer has seen that the gateway is not ready: its health check takes up to 2.5 s.
 	DefaultAcceptAfterStop = 2600 * time.Millisecond
-	// refuseAfterStop is when a stopping gateway begins to refuse streams, as they might not finish
-	// before it exits. This is right after it stops accepting connections.
-	refuseAfterStop = 2800 * time.Millisecond
-	// stopMargin ends a planned stop before the platform kills the process.
+	// stopMargin ends the requests that still run before the platform kills the process.
 	stopMargin = 500 * time.Millisecond
+	// lastResponsesTime is the part of stopMargin in which callers get the responses of requests that
+	// were ended.
+	lastResponsesTime = stopMargin / 2
 	// lastLinesTime is how long the handlers of requests that were cut have to log them.
 	lastLinesTime = 100 * time.Millisecond
 )
@@ -28,8 +28,10 @@
 // plannedStop is a planned stop in progress. Its times are of package boottime.
 type plannedStop struct {
 	began time.Time
-	// end is when requests that still run are cut.
-	end time.Time
+	// acceptsUntil is when the gateway stops to accept connections.
+	acceptsUntil time.Time
+	// callsEnd is when requests that still run are ended.
+	callsEnd time.Time
 	// broken, cut, finished, left and refused count the requests that have ended since it began.
 	broken, cut, finished, left, refused atomic.Int64
 }
@@ -50,41 +52,48 @@
 	}
 }
 
-// ended reports whether the end has come.
+// ended reports whether requests that still ran have been ended.
 func (s *plannedStop) ended() bool {
-	return boottime.Until(s.end) <= 0
+	return boottime.Until(s.callsEnd) <= 0
+}
+
+// newPlannedStop returns a stop that begins now. The gateway accepts connections for no longer than it
+// may run.
+func newPlannedStop(c *Config) *plannedStop {
+	now := boottime.Now()
+	length := max(0, c.StopGrace-stopMargin)
+	return &plannedStop{began: now, acceptsUntil: now.Add(min(c.AcceptAfterStop, length)), callsEnd: now.Add(length)}
 }
 
 // stop waits for ctx, then stops without cutting off requests. First the load balancer sees that
 // this gateway is not ready. Then the gateway accepts no more connections and waits for running
-// requests to finish.
+// requests to finish. At the end those that still run are ended with a response, as far as it has not
+// begun.
 func (g *Gateway) stop(ctx context.Context, server *http.Server) error {
 	<-ctx.Done()
 	began := time.Now()
-	s := &plannedStop{began: boottime.Now()}
-	s.end = s.began.Add(g.config.StopGrace - stopMargin)
+	s := newPlannedStop(&g.config)
 	g.stopping.Store(s)
 	g.logger.Info("gateway stops", "grace", g.config.StopGrace.String(), "connections", g.callers.open.Load(), "requests", g.callers.inProgress())
-	time.Sleep(g.config.AcceptAfterStop)
-	rest, cancel := context.WithDeadline(context.Background(), began.Add(g.config.StopGrace-stopMargin))
+	length := s.callsEnd.Sub(s.began)
+	end := time.AfterFunc(length, g.endRunning)
+	defer end.Stop()
+	time.Sleep(s.acceptsUntil.Sub(s.began))
+	rest, cancel := context.WithDeadline(context.Background(), began.Add(length+lastResponsesTime))
 	defer cancel()
-	open := g.callers.drain(rest)
-	if open > 0 {
-		g.logger.Warn("requests cut at the end of the grace", "connections", open, "requests", g.callers.inProgress())
-	}
+	g.callers.drain(rest)
 	_ = server.Close() // its listener is closed already
 	g.callers.awaitHandlers(lastLinesTime)
 	g.logger.Info("gateway stopped", "took", time.Since(began).String(), "finished", s.finished.Load(), "refused", s.refused.Load(), "cut", s.cut.Load(), "left", s.left.Load(), "broken", s.broken.Load())
 	return nil
 }
 
-// stopped returns how long this gateway has been stopping.
-func (g *Gateway) stopped() (time.Duration, bool) {
-	s := g.stopping.Load()
-	if s == nil {
-		return 0, false
+// endRunning ends the requests that still run at the end of a planned stop.
+func (g *Gateway) endRunning() {
+	if running := g.callers.inProgress(); running > 0 {
+		g.logger.Warn("requests cut at the end of the grace", "connections", g.callers.open.Load(), "requests", running)
 	}
-	return boottime.Since(s.began), true
+	g.callers.endRunning()
 }
 
 // awaitHandlers waits until no request is in progress, for some time at most.
--- /dev/null
+++ b/gateway/stopadmission.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"time"
+
+	"sandbarrow.example/sandbarrow/internal/boottime"
+	"sandbarrow.example/sandbarrow/route"
+)
+
+// This file decides which requests a gateway still takes on in a planned stop. Those that can't be
+// finished before its end are refused at once, while their callers have time to go elsewhere.
+
+// stopFit is what decides whether a request can be finished before a planned stop ends those that still
+// run.
+type stopFit struct {
+	// left is the time until then.
+	left time.Duration
+	// bound is the time until the request's own deadline, by which it has a final response.
+	bound time.Duration
+	// expected is how long requests of its route take, if known is set.
+	expected time.Duration
+	known    bool
+	// accepting says that the gateway still accepts connections: callers can't know of the stop yet, and
+	// would come back to the same gateway.
+	accepting bool
+	// replaceable says that the request may run again elsewhere if it is ended, and that its response can
+	// be replaced by one of the gateway until it is complete.
+	replaceable bool
+}
+
+// fits decides whether the request is taken on: if it ends by its own deadline, or else if requests of its
+// route usually take no longer than what is left and the risk is worth it.
+func (f stopFit) fits() bool {
+	switch {
+	case f.bound <= f.left:
+		return true
+	case f.accepting:
+		return !f.known || f.expected <= f.left
+	}
+	return f.replaceable && f.known && f.expected <= f.left
+}
+
+// fitsStop decides whether the call can be finished before a planned stop ends it; true at other times.
+func (c *call) fitsStop() bool {
+	s := c.gateway.stopping.Load()
+	if s == nil {
+		return true
+	}
+	now := boottime.Now()
+	f := stopFit{
+		left: s.callsEnd.Sub(now), bound: c.deadline.Sub(now), accepting: now.Before(s.acceptsUntil),
+		replaceable: c.route.Retryable() && c.route.Kind != route.KindStream,
+	}
+	f.expected, f.known = c.gateway.routeTimes.expected(c.route.Name)
+	return f.fits()
+}
+
+// endedByStop reports whether a planned stop leaves the call no more time, though its deadline does.
+func (c *call) endedByStop() bool {
+	s := c.gateway.stopping.Load()
+	return s != nil && boottime.Until(s.callsEnd) <= minSendTime && c.callerRequest.timeLeft() > minSendTime
+}
--- a/gateway/stoplog.go
+++ b/gateway/stoplog.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"log/slog"
 
 	"sandbarrow.example/sandbarrow/httpserve"
@@ -46,17 +47,18 @@
 
 // stopOutcomeOf decides how a call ended in a planned stop.
 //
-// Inputs: the status of its response, 0 without a complete one; why it ended, "" with a response of its
-// upstream; and whether the stop has reached its end.
-func stopOutcomeOf(status int, why reason, ended bool) stopOutcome {
+// Inputs: the status of its response, 0 without one; why it ended, "" with a response of its upstream;
+// whether the response was written; whether the stop has ended what still ran; and how far the upstream was.
+func stopOutcomeOf(status int, why reason, written, ended bool, phase upstreamPhase) stopOutcome {
+	complete := status != 0 && written
 	switch {
-	case why == "":
-		return stopFinished
-	case ended && status == 0:
+	case ended && !complete, why == reasonStopping && phase != phaseNotSent:
 		return stopCut
-	case why == reasonCallerLeft, why == reasonCallerStalled:
+	case why == "" && complete:
+		return stopFinished
+	case why == "", why == reasonCallerLeft, why == reasonCallerStalled:
 		return stopLeft
-	case status == 0:
+	case !complete:
 		return stopBroken
 	}
 	return stopRefused
@@ -78,15 +80,12 @@
 	if s == nil {
 		return nil
 	}
-	outcome := stopOutcomeOf(status, why, s.ended())
-	kind, phase := c.connectionKind(), c.phase
-	if phase == "" {
-		phase = phaseNotSent
-	}
+	kind, phase := c.connectionKind(), cmp.Or(c.phase, phaseNotSent)
+	outcome := stopOutcomeOf(status, why, !c.writeFailed, s.ended(), phase)
 	s.count(outcome)
 	c.gateway.metrics.stopRequests.WithLabelValues(kind, string(outcome), string(phase)).Inc()
 	attrs := []slog.Attr{
-		slog.Int64("stop_arrival_ms", c.began.Sub(s.began).Milliseconds()), slog.Int64("stop_left_ms", s.end.Sub(c.began).Milliseconds()),
+		slog.Int64("stop_arrival_ms", c.began.Sub(s.began).Milliseconds()), slog.Int64("stop_left_ms", s.callsEnd.Sub(c.began).Milliseconds()),
 		slog.String("stop_outcome", string(outcome)), slog.String("connection", kind), slog.String("upstream_phase", string(phase)),
 	}
 	if !c.deadline.IsZero() {
