Tell failed requests of a planned stop from refused ones

A request whose upstream failed or whose deadline passed was counted as refused, though an upstream may have run it.

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -32,17 +32,17 @@
 	acceptsUntil time.Time
 	// callsEnd is when requests that still run are ended.
 	callsEnd time.Time
-	// broken, cut, finished, left and refused count the requests that have ended since it began.
-	broken, cut, finished, left, refused atomic.Int64
+	// cut, failed, finished, left and refused count the requests that have ended since it began.
+	cut, failed, finished, left, refused atomic.Int64
 }
 
 // count counts a request.
 func (s *plannedStop) count(o stopOutcome) {
 	switch o {
-	case stopBroken:
-		s.broken.Add(1)
 	case stopCut:
 		s.cut.Add(1)
+	case stopFailed:
+		s.failed.Add(1)
 	case stopFinished:
 		s.finished.Add(1)
 	case stopLeft:
@@ -84,7 +84,7 @@
 	g.callers.drain(rest)
 	_ = server.Close() // its listener is closed already
 	g.callers.awaitHandlers(lastLinesTime)
-	g.logger.Info("gateway stopped", "took", time.Since(began).String(), "finished", s.finished.Load(), "refused", s.refused.Load(), "cut", s.cut.Load(), "left", s.left.Load(), "broken", s.broken.Load())
+	g.logger.Info("gateway stopped", "took", time.Since(began).String(), "finished", s.finished.Load(), "refused", s.refused.Load(), "cut", s.cut.Load(), "left", s.left.Load(), "failed", s.failed.Load())
 	return nil
 }
 
--- a/gateway/stoplog.go
+++ b/gateway/stoplog.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"net/http"
 
 	"sandbarrow.example/sandbarrow/httpserve"
 )
@@ -27,15 +28,15 @@
 
 // The outcomes of a call in a planned stop.
 const (
-	// stopBroken is a call whose response broke off with its upstream's.
-	stopBroken stopOutcome = "broken"
 	// stopCut is a call that ran when the stop ended all that did.
 	stopCut stopOutcome = "cut"
+	// stopFailed is a call that an upstream may have run, and that got no complete response of it.
+	stopFailed stopOutcome = "failed"
 	// stopFinished is a call that ended with a response of its upstream.
 	stopFinished stopOutcome = "finished"
 	// stopLeft is a call whose caller left or stalled before.
 	stopLeft stopOutcome = "left"
-	// stopRefused is a call that ended with a response of the gateway.
+	// stopRefused is a call that ended with a response of the gateway and was not run.
 	stopRefused stopOutcome = "refused"
 )
 
@@ -58,8 +59,8 @@
 		return stopFinished
 	case why == "", why == reasonCallerLeft, why == reasonCallerStalled:
 		return stopLeft
-	case !complete:
-		return stopBroken
+	case !complete, status == http.StatusBadGateway, status == http.StatusGatewayTimeout:
+		return stopFailed
 	}
 	return stopRefused
 }
