Let a response reach its caller though a further request is unread

Cause: a connection was closed with bytes unread in its socket, as where a caller sends its next request while a response that ends the connection is on its way. The kernel then resets the connection at once, and what it has not delivered of the response is lost.

Callers saw a response of their upstream break off with a reset, in a planned stop also those that read it in time.

Change: what has arrived is discarded as a connection is closed, without waiting and up to a bound, so that the close is orderly.

--- a/httpserve/conn.go
+++ b/httpserve/conn.go
@@ -34,6 +34,9 @@
 // its connection open.
 const headerTimeout = 5 * time.Second
 
+// maxDiscardedBytes bounds the bytes of further requests that are discarded as a connection is closed.
+const maxDiscardedBytes = 256 << 10
+
 // Conn is a connection of a caller that knows whether a request may be under way on it. It also
 // records its use, so that logs and metrics tell which side closed it and after what. It is safe for
 // concurrent use.
@@ -66,12 +69,16 @@
 }
 
 // Close closes the connection. The cause is the server's unless another one is known.
+//
+// Closing a socket with unread bytes resets the connection, and its caller loses what it has not received
+// of the last response.
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	if c.cause == "" {
 		c.cause = ClosedByServer
 	}
 	c.mu.Unlock()
+	socket.Discard(c.Conn, maxDiscardedBytes)
 	return c.Conn.Close()
 }
 
--- a/internal/socket/pending.go
+++ b/internal/socket/pending.go
@@ -1,4 +1,4 @@
-// Package socket looks at what a connection has received without reading from it. It keeps no state.
+// Package socket looks at what a connection has received and discards it. It keeps no state.
 package socket
 
 import (
