End waits for a permit at an upstream that is about to exit

Cause: a call that waits for a permit to send to a contended upstream was told of nothing while it waited. If the upstream began to drain or left the list, the call waited on for a turn that it could no longer use, until the objective was over. Waits for an adapter ended with the upstream's own word or an evacuation, but not with the list.

Callers saw requests held for their whole objective and then served late or refused as contended, while another upstream accepted them.

Change: each change of the list, from the store or from another process, cancels the waits at upstreams that accept no more requests, and waits for a permit are among those that can be cancelled. The call then chooses another upstream at once.

--- a/gateway/controllerlink.go
+++ b/gateway/controllerlink.go
@@ -170,6 +170,7 @@
 			return nil, err
 		}
 		l.gateway.directory.ApplyPeerChange(change)
+		l.gateway.upstreams.cancelBlockedWaits()
 		return nil, nil
 	case enginelink.MethodLedShards:
 		var leaders enginelink.LedShards
--- a/gateway/listwatch.go
+++ b/gateway/listwatch.go
@@ -36,11 +36,13 @@
 // Replace applies the complete list.
 func (s sharedList) Replace(items []sandbarrow.KeyItem, at sandbarrow.StoreRevision) {
 	s.gateway.directory.Replace(items, at)
+	s.gateway.upstreams.cancelBlockedWaits()
 }
 
 // Update applies changes and sends them to the other gateways.
 func (s sharedList) Update(items []sandbarrow.KeyItem, at sandbarrow.StoreRevision) {
 	change := s.gateway.directory.Advance(items, at)
+	s.gateway.upstreams.cancelBlockedWaits()
 	if rpc := s.gateway.engines.anyRPC(); rpc != nil {
 		_ = rpc.Notify(context.Background(), enginelink.MethodListed, change) // if the link is broken, the others read the list themselves
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -165,6 +165,7 @@
 	after, _ := g.estate.Watermark()
 	adopted := g.directory.ApplyPeerList(list.Items, list.Watermark)
 	if adopted {
+		g.upstreams.cancelBlockedWaits()
 		g.logger.Info("upstreams learnt from a peer", "peer", address, "upstreams", len(list.Items), "revision", list.Watermark)
 	}
 	return adopted || before.MayLack(after), nil
--- a/gateway/plainpermits.go
+++ b/gateway/plainpermits.go
@@ -172,22 +172,33 @@
 	return min(c.route.Objective-c.elapsed(), c.timeLeft())
 }
 
-// permitPlain requests a permit if the upstream is contended, and waits for it. It returns false if the
-// request can't be served there in time, or if the caller has left.
-func (c *call) permitPlain(ctx context.Context, in *sandbarrow.Instance) (*plainPermit, bool) {
+// permitPlain requests a permit if the upstream is contended, and waits for it until the upstream accepts
+// no more requests. It returns nil if the request can't be served there in time, with the reason if that is
+// contention, or if the caller has left.
+func (c *call) permitPlain(ctx context.Context, in *sandbarrow.Instance) (*plainPermit, reason) {
 	p := c.gateway.plainPermits
 	q, need := p.request(c, in)
 	if !need {
-		return &plainPermit{}, true
+		return &plainPermit{}, ""
+	}
+	wait, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer c.gateway.upstreams.cancelWhenBlocked(in, c, cancel)()
+	if !c.gateway.upstreams.accepts(in) {
+		return nil, ""
 	}
 	began := boottime.Now()
-	granted, grant, err := p.permits.Request(ctx, q)
+	granted, grant, err := p.permits.Request(wait, q)
 	waited := boottime.Since(began)
 	c.plain.asked++
 	c.plain.waited += waited
+	if err != nil && ctx.Err() == nil && wait.Err() != nil {
+		p.metrics.asked(in.Service, "blocked", waited)
+		return nil, ""
+	}
 	if err != nil {
 		p.metrics.asked(in.Service, "left", waited)
-		return nil, false
+		return nil, reasonContended
 	}
 	p.replied(in.ID, &grant)
 	if granted == nil {
@@ -197,14 +208,14 @@
 			c.plain.drainedAt = at
 		}
 		p.metrics.asked(in.Service, "refused", waited)
-		return nil, false
+		return nil, reasonContended
 	}
 	if !grant.Contended {
 		p.metrics.asked(in.Service, "uncontended", waited)
 	} else {
 		p.metrics.asked(in.Service, "granted", waited)
 	}
-	return &plainPermit{permit: granted}, true
+	return &plainPermit{permit: granted}, ""
 }
 
 // endPlain returns the permit of a request that took some time at an upstream, and applies what its
--- a/gateway/plainpermits_test.go
+++ b/gateway/plainpermits_test.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 
+	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
 	"sandbarrow.example/sandbarrow/permit"
 	"sandbarrow.example/sandbarrow/route"
@@ -143,3 +144,49 @@
 	assert.Equal(t, f.send(t.Context(), http.MethodPost, "/p/", nil).status, http.StatusOK)
 	assert.Equal(t, f.permitAsks(t)["granted"], 1)
 }
+
+// Guards against a request that waits on for a permit at an upstream that is about to exit, while another accepts it.
+func TestWaitForPermitEndsOnceUpstreamDrains(t *testing.T) {
+	for name, leave := range map[string]func(f *fleet, t *testing.T, r *runner){
+		"listed as draining": func(f *fleet, t *testing.T, r *runner) {
+			f.list(t, r, r.server.Listener.Addr().String(), true)
+		},
+		"no longer listed": func(f *fleet, t *testing.T, r *runner) {
+			_, err := f.store.Commit(t.Context(), sandbarrow.Transaction{Remove: []string{"up/" + string(r.id)}})
+			assert.NilError(t, err)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const objective = 1500 * time.Millisecond
+			f := newPermitFleet(t, 2, route.KindUnsafe)
+			leaving, other := f.runners[0], f.runners[1]
+			otherAddress := other.server.Listener.Addr().String()
+			f.list(t, other, otherAddress, true)
+			r := plainRoute(route.KindUnsafe)
+			r.Objective = objective
+			f.configure(t, r)
+			eventually(t, func() bool { return f.gateway.directory.View().At(otherAddress).Draining })
+			leaving.set(func() { leaving.hang = true })
+			f.contend(t)
+			answered := make(chan testResponse, 16)
+			for range cap(answered) {
+				go func() { answered <- f.send(t.Context(), http.MethodPost, "/p/", nil) }()
+			}
+			waiting := 0
+			eventually(t, func() bool {
+				_, _, waiting = f.gateway.plainPermits.own.Counts()
+				return waiting > 0 && waiting+len(leaving.runs()) == cap(answered)
+			})
+			f.list(t, other, otherAddress, false)
+			leave(f, t, leaving)
+			began := time.Now()
+			for range waiting {
+				got := <-answered
+				assert.Equal(t, got.status, http.StatusOK, "%s %v", got.body, got.err)
+			}
+			took := time.Since(began)
+			t.Logf("%d requests that waited were served after %s", waiting, took)
+			assert.Assert(t, took < objective/2)
+		})
+	}
+}
--- a/gateway/serveplain.go
+++ b/gateway/serveplain.go
@@ -119,10 +119,10 @@
 	if !granted {
 		return nil, ""
 	}
-	slot, granted := c.permitPlain(ctx, in)
-	if !granted {
+	slot, refusal := c.permitPlain(ctx, in)
+	if slot == nil {
 		send.release()
-		return nil, reasonContended
+		return nil, refusal
 	}
 	return &permitsForSend{send: send, slot: slot}, ""
 }
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -29,19 +29,38 @@
 
 // waits holds the calls that wait at one upstream, with the functions that cancel the waits.
 type waits struct {
-	cancels map[*call]func()
-	domain  sandbarrow.FailureDomain
+	cancels  map[*call]func()
+	instance *sandbarrow.Instance
 }
 
-// cancelWhenBlocked calls stop once an upstream announces that it accepts no requests, or once its
-// failure domain is evacuated, so that the call does not wait there in vain. The returned function
-// ends this.
+// cancelBlockedWaits cancels the waits at upstreams that accept no more requests by a change of the
+// list.
+func (u *upstreams) cancelBlockedWaits() {
+	u.mu.Lock()
+	waiting := make([]*sandbarrow.Instance, 0, len(u.waiting))
+	for _, w := range u.waiting {
+		waiting = append(waiting, w.instance)
+	}
+	u.mu.Unlock()
+	for _, in := range waiting {
+		if u.accepts(in) {
+			continue
+		}
+		u.mu.Lock()
+		u.cancelWaits(in.ID)
+		u.mu.Unlock()
+	}
+}
+
+// cancelWhenBlocked calls stop once an upstream accepts no more requests, by its own word or by the
+// list, or once its failure domain is evacuated, so that the call does not wait there in vain. The
+// returned function ends this.
 func (u *upstreams) cancelWhenBlocked(in *sandbarrow.Instance, c *call, stop func()) (end func()) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	w := u.waiting[in.ID]
 	if w == nil {
-		w = &waits{cancels: map[*call]func(){}, domain: in.FailureDomain}
+		w = &waits{cancels: map[*call]func(){}, instance: in}
 		u.waiting[in.ID] = w
 	}
 	w.cancels[c] = stop
@@ -67,7 +86,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for _, w := range u.waiting {
-		if w.domain == domain {
+		if w.instance.FailureDomain == domain {
 			w.cancelAll()
 		}
 	}
