Let permits last as long as the requests that hold them

Cause: a permit to send to a contended upstream counted for 2 s at most, whatever its request takes. Where requests take longer, the coordinator gave their places to others while they still ran.

What callers saw: an upstream gets more requests than it has slots and a queue for. It rejects the rest, which costs retries, or all take longer.

Change: a permit that is not returned lasts until the deadline of its request, or for four times the learned service time if that is less, and 2 s where that is less still, or where nothing is learned yet. The coordinator's own bound is only against requests that name anything; it is now a minute. For a gateway that dies nothing changes at upstreams that take under half a second.

--- a/gateway/plainpermits.go
+++ b/gateway/plainpermits.go
@@ -15,10 +15,6 @@
 	"sandbarrow.example/sandbarrow/sendkeepers"
 )
 
-// maxPermitTime bounds the time for which a permit is requested. A permit that is not returned counts
-// for this long.
-const maxPermitTime = 2 * time.Second
-
 // plainPermits requests permits to send to contended plain upstreams, and recognises contention. It is
 // safe for concurrent use.
 type plainPermits struct {
@@ -85,9 +81,10 @@
 		p.contended.Store(p.view.Count(now) > 0)
 		return q, false
 	}
+	service := p.view.Service(in.ID, c.route.Name)
 	q = enginelink.PermitRequest{
-		Instance: in.ID, Priority: c.priority(), Retry: c.isCallerRetry(), ServiceUS: p.view.Service(in.ID, c.route.Name).Microseconds(), Sign: sign,
-		Slots: in.Slots, TTLMS: min(c.timeLeft(), maxPermitTime).Milliseconds(), UsefulMS: c.usefulTime().Milliseconds(),
+		Instance: in.ID, Priority: c.priority(), Retry: c.isCallerRetry(), ServiceUS: service.Microseconds(), Sign: sign,
+		Slots: in.Slots, TTLMS: permit.TTL(c.timeLeft(), service).Milliseconds(), UsefulMS: c.usefulTime().Milliseconds(),
 	}
 	if c.workspace != nil {
 		q.Workspace = c.workspace.ID
--- a/gateway/plainpermits_test.go
+++ b/gateway/plainpermits_test.go
@@ -190,3 +190,39 @@
 		})
 	}
 }
+
+// Guards against permits that end before their requests, and so against more requests than the upstream has room for.
+func TestPermitsLastAsLongAsSlowRequests(t *testing.T) {
+	const work = 2300 * time.Millisecond
+	f := newPermitFleet(t, 1, route.KindSafe)
+	slow := plainRoute(route.KindSafe)
+	slow.Objective, slow.Timeout = 8*time.Second, 9*time.Second
+	f.configure(t, slow)
+	r := f.runners[0]
+	running, most := 0, 0
+	r.set(func() {
+		r.respond = func(w http.ResponseWriter, _ *http.Request) {
+			r.set(func() {
+				running++
+				most = max(most, running)
+			})
+			time.Sleep(work)
+			r.set(func() { running-- })
+			w.Header().Set(testNames.Signature, "signed")
+		}
+	})
+	send := func() {
+		got := f.send(t.Context(), http.MethodPost, "/p/", map[string]string{testNames.Deadline: "9000"})
+		assert.Check(t, got.status == http.StatusOK, "%d %s %v", got.status, got.body, got.err)
+	}
+	send()
+	f.contend(t)
+	slots := f.gateway.directory.View().Service(testPlain)[0].Slots
+	queue := (slots + 2) / 3
+	var requests sync.WaitGroup
+	for range 2*slots + queue {
+		requests.Go(send)
+	}
+	requests.Wait()
+	assert.Assert(t, most <= slots+queue, "%d requests at an upstream with %d slots", most, slots)
+}
--- a/permit/upstream.go
+++ b/permit/upstream.go
@@ -34,8 +34,8 @@
 	maxWaiting = 512
 	// maxOutstanding bounds the permits that are known for one upstream.
 	maxOutstanding = 4096
-	// maxTTL bounds the time for which a permit that is not returned counts.
-	maxTTL = 2 * time.Second
+	// maxTTL bounds the time for which a permit that is not returned counts, whatever its request names.
+	maxTTL = time.Minute
 )
 
 // held is one outstanding permit.
