Answer what still runs at the end of an entry's planned stop

Cause: an entry waited a second for its load balancer and then its whole stop_grace for its requests, so that it ran for longer than the grace and was killed with requests in progress. At its own end it closed their connections as well.

Callers saw their connections close without a response. Whether their requests had run they could not know.

Change: all times of the stop fit into the grace. Half a second before its end, requests that still run are ended: an attempt is revoked at its agent and the caller learns that it has not run (503, draining), or that this is not known. What the entry looks up for that, at an agent or in the store, ends in time for the response.

Not changed: in the second in which connections are accepted, an entry takes on requests whose deadlines lie after the end.

--- a/entry/completion.go
+++ b/entry/completion.go
@@ -139,11 +139,11 @@
 	r.ctx.Response.Header.Set(headerRequestID, string(r.id))
 	r.ctx.Response.Header.Set(headerRevision, strconv.FormatUint(uint64(r.view.Revision), 10))
 	if !j.attempt.Stream {
-		result, refusal := e.dispatch(e.work, j)
+		result, refusal := e.dispatch(e.calls, j)
 		e.writeResponse(r, result, refusal)
 		return
 	}
-	ctx, cancel := context.WithCancel(e.work)
+	ctx, cancel := context.WithCancel(e.calls)
 	done := make(chan dispatchResult, 1)
 	go func() {
 		result, refusal := e.dispatch(ctx, j)
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -70,6 +70,9 @@
 	refusal := sandbarrow.NotRun(sandbarrow.ReasonNoUpstream, "no upstream can take the request now", noUpstreamRetryAfter)
 	j.attempt.Attempt = 1
 	for range maxAttempts {
+		if isStopped(ctx) {
+			return wire.AttemptResult{}, combineRefusals(refusal, notRunByStop())
+		}
 		if d := e.crashes.Decide(*j.attempt.Fingerprint, e.Connected()); d.Refused {
 			return wire.AttemptResult{}, combineRefusals(refusal, sandbarrow.NotRun(sandbarrow.ReasonCrashesUpstreams, "upstreams have ended under this request", d.ExpiresIn))
 		}
@@ -131,10 +134,14 @@
 	switch {
 	case errors.Is(err, errNotSent):
 		return notSent
+	case errors.Is(err, errRevoked) && isStopped(ctx):
+		return decision{refusal: notRunByStop()}
 	case errors.Is(err, errRevoked):
 		return decision{refusal: sandbarrow.NotRun(sandbarrow.ReasonDeadline, "the deadline passed before the request ran", noUpstreamRetryAfter)}
 	case err != nil && j.attempt.AtMostOnceID != "":
 		return e.resolveLostAttempt(ctx, j)
+	case err != nil && isStopped(ctx):
+		return decision{refusal: sandbarrow.Unknown(sandbarrow.ReasonDeadline, "the entry stopped while an agent had the request", noUpstreamRetryAfter)}
 	case err != nil:
 		return decision{retry: true, refusal: sandbarrow.Unknown(sandbarrow.ReasonUpstream, "the agent was lost while it had the request", noUpstreamRetryAfter)}
 	case result.Outcome == sandbarrow.OutcomeComplete:
@@ -145,6 +152,11 @@
 	return decideRefusal(j, result)
 }
 
+// notRunByStop is the refusal of a request that a planned stop has ended before it ran.
+func notRunByStop() *sandbarrow.Refusal {
+	return sandbarrow.NotRun(sandbarrow.ReasonDraining, "the entry stopped before the request ran", noUpstreamRetryAfter)
+}
+
 // decideRefusal decides whether a request that an agent refused is retried.
 //
 // Inputs: the refusal's reason and outcome, and whether the request is at-most-once. If the
@@ -175,7 +187,7 @@
 // resolveLostAttempt finds out whether an at-most-once attempt has run after the connection to
 // its agent was lost. If it has not started, its claim is voided and it never runs.
 func (e *Entry) resolveLostAttempt(ctx context.Context, j *job) decision {
-	voidCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), resolveTimeout)
+	voidCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), e.lookupTime(resolveTimeout))
 	defer cancel()
 	c := sandbarrow.Claim{
 		Attempt: j.attempt.Attempt,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -36,9 +36,6 @@
 	readTimeout = 30 * time.Second
 	// writeTimeout bounds the time to write one response.
 	writeTimeout = 10 * time.Minute
-	// unreadyDelay is how long a stopping entry still accepts connections. In this time the load
-	// balancer detects that the entry is not ready.
-	unreadyDelay = time.Second
 	// maxSavedRetries bounds the retry budget that accumulates while few retries are needed
 	// (docs/design/retries.md).
 	maxSavedRetries = 20
@@ -60,9 +57,13 @@
 	permits      permitCache
 	serveMetrics fasthttp.RequestHandler
 	settings     *settings.Settings
-	stopping     atomic.Bool
-	tracker      *burn.Tracker
-	work         context.Context // canceled after the last request
+	// stopEnd is when a planned stop ends the requests that still run; nil before it.
+	stopEnd atomic.Pointer[time.Time]
+	tracker *burn.Tracker
+	// calls is canceled with errStopped when a planned stop ends the requests that still run, work after
+	// the last request.
+	calls, work context.Context
+	endCalls    context.CancelCauseFunc
 
 	mu       sync.Mutex
 	draining map[sandbarrow.BoxID]bool
@@ -105,7 +106,7 @@
 
 // Ready reports whether the entry can serve requests.
 func (e *Entry) Ready() bool {
-	return !e.stopping.Load() && e.follower.View() != nil && e.Connected() > 0
+	return !e.stopping() && e.follower.View() != nil && e.Connected() > 0
 }
 
 // Run serves until ctx is canceled, then finishes the requests in progress.
@@ -115,6 +116,8 @@
 	server := e.server()
 	g, work := errgroup.WithContext(work)
 	e.work = work
+	e.calls, e.endCalls = context.WithCancelCause(work)
+	defer e.endCalls(nil)
 	g.Go(func() error { return e.claimer.Run(work) })
 	g.Go(func() error { return e.follower.Run(work) })
 	g.Go(func() error { return e.configLoop(work) })
@@ -133,17 +136,6 @@
 	return g.Wait()
 }
 
-// stop reports the entry as not ready, waits for the load balancer to notice, then finishes the
-// requests in progress.
-func (e *Entry) stop(server *fasthttp.Server) error {
-	e.stopping.Store(true)
-	e.logger.Info("draining", "why", "stop asked")
-	time.Sleep(unreadyDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.settings.Entry.StopGrace))
-	defer cancel()
-	return errors.Annotate(server.ShutdownWithContext(ctx), "stopped with work in progress")
-}
-
 // configLoop applies each new configuration to this entry.
 func (e *Entry) configLoop(ctx context.Context) error {
 	for {
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -271,14 +271,14 @@
 	if ctx.Err() == nil {
 		return result, errors.Annotate(errLost, err.Error())
 	}
-	return revoke(rpc, req, call)
+	return revoke(rpc, req, call, p.entry.lookupTime(revokeTimeout))
 }
 
 // revoke revokes an attempt. It uses the connection that carried the attempt, so the agent
 // receives the revoke after it. If the attempt has finished in the meantime, its result is
-// returned.
-func revoke(rpc *jsonrpc2.Conn, req wire.AttemptRequest, call jsonrpc2.Waiter) (wire.AttemptResult, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
+// returned. It waits for the agent's reply for some time at most.
+func revoke(rpc *jsonrpc2.Conn, req wire.AttemptRequest, call jsonrpc2.Waiter, atMost time.Duration) (wire.AttemptResult, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), atMost)
 	defer cancel()
 	var reply wire.RevokeReply
 	err := rpc.Call(ctx, wire.MethodRevoke, wire.RevokeRequest{Attempt: req.Attempt, ID: req.ID}, &reply)
--- a/internal/systest/system_test.go
+++ b/internal/systest/system_test.go
@@ -176,9 +176,11 @@
 	checksToken bool
 	engines     int
 	entries     int
-	leaseTTL    time.Duration
-	loadTime    time.Duration
-	maxRunning  int
+	// entryStopGrace is the setting entry.stop_grace.
+	entryStopGrace time.Duration
+	leaseTTL       time.Duration
+	loadTime       time.Duration
+	maxRunning     int
 	// standinProcesses starts the stand-ins as separate processes too.
 	standinProcesses bool
 	slots            int
@@ -188,7 +190,7 @@
 
 func defaultOptions() options {
 	return options{
-		checksToken: true, engines: 2, entries: 1, leaseTTL: 2 * time.Second, loadTime: 20 * time.Millisecond,
+		checksToken: true, engines: 2, entries: 1, entryStopGrace: 20 * time.Second, leaseTTL: 2 * time.Second, loadTime: 20 * time.Millisecond,
 		maxRunning: 8, slots: 4, tokenTime: 5 * time.Millisecond, serviceTime: 20 * time.Millisecond,
 	}
 }
@@ -308,8 +310,8 @@
 		"box": {"id": "entry-%d", "failure_domain": "a"},
 		"listen": {"http": "127.0.0.1:0"},
 		"platform": {"store": %q, "box_list": "%s/boxes"},
-		"entry": {"default_deadline": "8s", "stop_grace": "20s"},
-	}`, i, s.kv, s.boxListURL)
+		"entry": {"default_deadline": "8s", "stop_grace": %q},
+	}`, i, s.kv, s.boxListURL, s.options.entryStopGrace)
 	assert.NilError(s.t, os.WriteFile(file, []byte(settings), 0o600))
 	p := startProcess(s.t, "sandbarrow", "entry", "--settings", file)
 	url := "http://" + p.logField(s.t, "entry started", "http")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -55,8 +55,8 @@
 	MaxBodyBytes int `json:"max_body_bytes"`
 	// RetryShare is the fraction of requests that may be retries.
 	RetryShare float64 `json:"retry_share"`
-	// StopGrace is the longest duration of a planned stop. Requests that still run then are
-	// aborted.
+	// StopGrace is the longest duration of a planned stop. Requests that still run shortly before its
+	// end are ended with a response.
 	StopGrace jsonc.Duration `json:"stop_grace"`
 }
 
