Close connections with the responses of an entry's planned stop

Cause: in the second in which a stopping entry accepts connections, its responses left kept connections open, and callers sent it further requests on them.

Callers saw nothing of the stop on these, and lost work if their requests did not end within the grace.

Change: each response in a planned stop closes its connection, also that of a request that came before.

--- a/entry/server.go
+++ b/entry/server.go
@@ -94,6 +94,11 @@
 }
 
 func (e *Entry) serveCaller(ctx *fasthttp.RequestCtx, path string) {
+	defer func() {
+		if e.stopping() {
+			ctx.SetConnectionClose() // so that the caller's next request goes to another entry
+		}
+	}()
 	r := &request{ctx: ctx, id: newRequestID(), started: boottime.Now(), view: e.follower.View()}
 	if refusal := e.admit(r); refusal != nil {
 		e.refuse(r, refusal)
--- a/internal/systest/entrystop_test.go
+++ b/internal/systest/entrystop_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -61,3 +64,26 @@
 		})
 	}
 }
+
+// Guards against kept connections on which requests follow throughout a planned stop of an entry.
+func TestResponseInPlannedStopOfEntryClosesItsConnection(t *testing.T) {
+	t.Parallel()
+	s := startSystem(t, defaultOptions())
+	send := func(id string) *http.Response {
+		request, err := http.NewRequest(http.MethodPost, s.urls[0]+"/receipts/new", strings.NewReader(id))
+		assert.NilError(t, err)
+		request.Header.Set("Authorization", "Bearer "+callerKey)
+		response, err := http.DefaultClient.Do(request)
+		assert.NilError(t, err)
+		defer response.Body.Close()
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+		return response
+	}
+	assert.Assert(t, !send("before").Close)
+	s.entries[0].signal(t, syscall.SIGTERM)
+	time.Sleep(100 * time.Millisecond)
+	assert.Assert(t, send("after").Close)
+	s.entries[0].waitExit(t, 10*time.Second)
+}
