--- a/gateway/upstreams_test.go
+++ b/gateway/upstreams_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"testing"
@@ -89,3 +90,30 @@
 		assert.Equal(t, len(g.upstreams.waiting), 1)
 	}
 }
+
+// Guards against waits at upstreams that the list shows as no longer accepting requests.
+func TestWaitIsCancelledByTheList(t *testing.T) {
+	entry := func(id, text string) sandbarrow.KeyItem {
+		return sandbarrow.KeyItem{Key: "up/" + id, Revision: 2, Value: []byte(text)}
+	}
+	g := newLoneGateway()
+	var items []sandbarrow.KeyItem
+	for _, id := range []string{"draining", "gone", "accepting", "restarted"} {
+		items = append(items, sandbarrow.KeyItem{Key: "up/" + id, Revision: 1, Value: fmt.Appendf(nil, `{"Address":%q,"ID":"%s@1","Service":"s"}`, id, id)})
+	}
+	list := sharedList{g}
+	list.Replace(items, 1)
+	stopped := map[sandbarrow.InstanceID]bool{}
+	for _, in := range g.directory.View().All() {
+		defer g.upstreams.cancelWhenBlocked(in, &call{gateway: g}, func() { stopped[in.ID] = true })()
+	}
+	list.Update(nil, 1)
+	assert.Equal(t, len(stopped), 0)
+	list.Update([]sandbarrow.KeyItem{
+		entry("draining", `{"Address":"draining","ID":"draining@1","Service":"s","Draining":true}`),
+		entry("restarted", `{"Address":"restarted","ID":"restarted@2","Service":"s"}`),
+		entry("accepting", `{"Address":"accepting","ID":"accepting@1","Service":"s","Slots":3}`),
+		{Deleted: true, Key: "up/gone", Revision: 2},
+	}, 2)
+	assert.DeepEqual(t, stopped, map[sandbarrow.InstanceID]bool{"draining@1": true, "gone@1": true, "restarted@1": true})
+}
