Tell all controllers with which software versions streams began

Cause: a gateway in its second minute or later trusted its own list of upstreams, however old, and four keepers of the take-up's own id, while each stream is kept at two. Where the list is behind, streams of a version that it doesn't show yet are missed. In its first minute it kept an answer of the controllers for good, though a new version may appear at any moment. To ask all known controllers isn't enough either: controllers join together with upstreams, and both keepers of a stream may be among those that the list doesn't show yet.

What callers saw: an unnamed stream that had begun with v2 went on at v1 (ORDER).

Change: a gateway reports each software version whose streams it passes on to all controllers, or to all peers if no controller replies, before the first event, and again only when the report would end before the stream may be resumed: at most one report to each controller in 10 s for streams of equal deadlines. A take-up that names no request asks all controllers, of which all but one must reply; take-ups that arrive meanwhile share the next question. No answer is kept for take-ups that arrive after the question.

--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -346,6 +346,12 @@
 func (f *fleet) startGateway(t *testing.T, config Config) (*Gateway, string) {
 	t.Helper()
 	g := New(config)
+	return g, f.runGateway(t, g)
+}
+
+// runGateway runs a gateway and returns its URL.
+func (f *fleet) runGateway(t *testing.T, g *Gateway) string {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	done := make(chan error, 1)
@@ -354,7 +360,7 @@
 		f.stop()
 		assert.NilError(t, <-done)
 	})
-	return g, "http://" + listener.Addr().String()
+	return "http://" + listener.Addr().String()
 }
 
 // moveToNewGateway makes the fleet's callers use a gateway that has just started.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -147,12 +147,13 @@
 	outage     *leaderOutage
 	permits    *sendPermits
 	// plainPermits requests permits for contended plain upstreams.
-	plainPermits *plainPermits
-	routeTimes   routeTimes
-	software     *softwareHistory
-	started      time.Time
-	stopping     atomic.Pointer[plannedStop]
-	upstreams    *upstreams
+	plainPermits    *plainPermits
+	routeTimes      routeTimes
+	software        *softwareHistory
+	softwareRecords *softwareRecords
+	started         time.Time
+	stopping        atomic.Pointer[plannedStop]
+	upstreams       *upstreams
 
 	mu    sync.Mutex
 	pools map[sandbarrow.InstanceID]*forward.Pool
@@ -188,6 +189,7 @@
 	g.origins = sendkeepers.NewOrigins(g.permits.coordinators, &g.ownOrigins)
 	g.plainPermits = newPlainPermits(g)
 	g.software = newSoftwareHistory(g)
+	g.softwareRecords = newSoftwareRecords(g)
 	g.upstreams = &upstreams{gateway: g, waiting: map[sandbarrow.InstanceID]*waits{}}
 	c.Metrics.MustRegister(
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/gateway/streamorigin.go
+++ b/gateway/streamorigin.go
@@ -56,14 +56,13 @@
 
 // lookUpOrigin returns where the stream began that the request resumes, or false if that is not known.
 // A caller that does not name the stream may resume it while only one software version is known:
-// none other in the list for some time, nor of any stream that the keepers of this request know, nor,
-// after a start, of any stream at all.
+// none other in the list for some time, nor of any stream that the other processes know.
 func (c *call) lookUpOrigin(ctx context.Context) (origin.Origin, bool) {
 	if c.resumes != "" {
 		return c.gateway.origins.Find(ctx, c.resumes)
 	}
 	only := origin.Origin{Service: c.service.ID, Software: c.gateway.directory.OnlySoftware(c.service.ID)}
-	return only, only.Software != "" && c.gateway.origins.IsOnly(ctx, sandbarrow.RequestID(c.id), only) && c.gateway.software.isOnly(ctx, only)
+	return only, only.Software != "" && c.gateway.software.isOnly(ctx, sandbarrow.RequestID(c.id), only)
 }
 
 // useServiceOfOrigin makes a resumed stream go on at the service with which it began, if the route
@@ -104,13 +103,21 @@
 	}
 	if c.resumes != "" {
 		c.recordOrigin(c.resumes) // a keeper may have been lost since
+	} else if c.lastEvent != "" {
+		c.gateway.softwareRecords.record(*c.origin, c.recordLifetime())
 	}
 	return nil
 }
 
+// recordLifetime returns how long the stream may be resumed.
+func (c *call) recordLifetime() time.Duration {
+	return boottime.Until(c.callerDeadline) + resumeMargin
+}
+
 // recordOrigin reports where the stream began, for gateways at which its caller may resume it.
 func (c *call) recordOrigin(id sandbarrow.RequestID) {
-	lifetime := boottime.Until(c.callerDeadline) + resumeMargin
+	lifetime := c.recordLifetime()
+	c.gateway.softwareRecords.record(*c.origin, lifetime)
 	reached := c.gateway.origins.Record(enginelink.StreamBegan{
 		ID: id, LifetimeMS: lifetime.Milliseconds(), Service: c.origin.Service, Software: c.origin.Software,
 	})
--- a/origin/table.go
+++ b/origin/table.go
@@ -12,12 +12,13 @@
 	maxOrigins = 32768
 	// maxIDBytes bounds the ids that are recorded.
 	maxIDBytes = 256
-	// maxLifetime bounds how long a record is kept, whatever its stream's deadline.
-	maxLifetime = 5 * time.Minute
 	// sweepInterval is the interval between two removals of expired records.
 	sweepInterval = time.Second
 )
 
+// MaxLifetime bounds how long a record is kept, whatever its stream's deadline.
+const MaxLifetime = 5 * time.Minute
+
 // Table holds where streams began, by the id of the request that brought the first event. The zero
 // value is ready to use. It is not safe for concurrent use.
 type Table struct {
@@ -37,7 +38,7 @@
 // the same id, and began differently, neither may go on.
 func (t *Table) Add(now time.Time, id sandbarrow.RequestID, o Origin, lifetime time.Duration) {
 	t.sweep(now)
-	expires := now.Add(min(lifetime, maxLifetime))
+	expires := now.Add(min(lifetime, MaxLifetime))
 	known, has := t.records[id]
 	if !has && len(t.records) >= maxOrigins || len(id) > maxIDBytes {
 		return
--- a/origin/table_test.go
+++ b/origin/table_test.go
@@ -71,6 +71,6 @@
 	assert.Equal(t, table.Len(), 0)
 	table.Add(now.Add(2*time.Second), "new", testOrigin, time.Hour)
 	assert.Equal(t, table.Len(), 1)
-	_, known := table.Find(now.Add(2*time.Second+maxLifetime), "new")
+	_, known := table.Find(now.Add(2*time.Second+MaxLifetime), "new")
 	assert.Assert(t, !known)
 }
--- a/sendkeepers/origins.go
+++ b/sendkeepers/origins.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"iter"
 	"sync/atomic"
 	"time"
@@ -64,6 +66,47 @@
 	return reached
 }
 
+// RecordSoftware reports to all controllers, or to all peers if no controller replies, that streams of a
+// service began with a software version, so that every process that may be asked knows of it. It waits
+// for those that don't take the report for a short time, and returns the number of those that took it.
+func (o *Origins) RecordSoftware(began origin.Origin, lifetime time.Duration) int {
+	ctx, cancel := context.WithTimeout(context.Background(), findTimeout)
+	defer cancel()
+	m := enginelink.StreamBegan{
+		ID: softwareRecordID(began), LifetimeMS: lifetime.Milliseconds(), Service: began.Service, Software: began.Software,
+	}
+	keepers := o.originKeepers(o.coordinators.allCandidates())
+	taken := make(chan bool, len(keepers))
+	for _, keeper := range keepers {
+		go func() { // ends with the keeper's connection
+			err := keeper.StreamBegan(m)
+			if err != nil {
+				o.markSuspect(keeper, err)
+			}
+			taken <- err == nil
+		}()
+	}
+	reached := 0
+	for range keepers {
+		select {
+		case ok := <-taken:
+			if ok {
+				reached++
+			}
+		case <-ctx.Done():
+			return reached
+		}
+	}
+	return reached
+}
+
+// softwareRecordID returns the id of the record that streams of a service began with a software version.
+// It has a fixed length, since records with long ids are not kept.
+func softwareRecordID(o origin.Origin) sandbarrow.RequestID {
+	sum := sha256.Sum256([]byte(string(o.Service) + "\x00" + string(o.Software)))
+	return sandbarrow.RequestID("software-" + hex.EncodeToString(sum[:]))
+}
+
 // Find asks the keepers of a stream where it began. It returns false if none of them knows.
 func (o *Origins) Find(ctx context.Context, id sandbarrow.RequestID) (origin.Origin, bool) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
@@ -98,12 +141,7 @@
 func (o *Origins) IsOnlyAmong(ctx context.Context, controllers int, only origin.Origin) bool {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	var keepers []OriginKeeper
-	for _, c := range o.coordinators.config.Controllers() {
-		if keeper, ok := c.(OriginKeeper); ok {
-			keepers = append(keepers, keeper)
-		}
-	}
+	keepers := o.originKeepers(o.coordinators.config.Controllers())
 	replied := 0
 	for reply := range o.askAll(ctx, keepers, enginelink.FindStream{Service: only.Service, Software: only.Software}) {
 		if reply.Others {
@@ -168,13 +206,18 @@
 }
 
 func (o *Origins) newRing(now time.Time) *ring {
+	return newRing(now, o.originKeepers(o.coordinators.choice.Responsive(now, o.coordinators.candidates())))
+}
+
+// originKeepers returns the processes that keep where streams began.
+func (o *Origins) originKeepers(processes []Coordinator) []OriginKeeper {
 	var list []OriginKeeper
-	for _, c := range o.coordinators.choice.Responsive(now, o.coordinators.candidates()) {
+	for _, c := range processes {
 		if own, ok := c.(ownCoordinator); ok {
 			list = append(list, localOrigins{keeper: o.own, name: own.address})
 		} else if keeper, ok := c.(OriginKeeper); ok {
 			list = append(list, keeper)
 		}
 	}
-	return newRing(now, list)
+	return list
 }
--- a/sendkeepers/origins_test.go
+++ b/sendkeepers/origins_test.go
@@ -126,6 +126,22 @@
 	assert.Assert(t, !alone().IsOnlyAmong(t.Context(), 0, only))
 }
 
+func TestSoftwareIsKnownAtAllControllers(t *testing.T) {
+	keepers, gateway := newFakeKeepers(12)
+	keepers[5].down = true
+	v1 := origin.Origin{Service: "s", Software: "v1"}
+	assert.Equal(t, gateway().RecordSoftware(v1, time.Minute), 11)
+	assert.Equal(t, gateway().RecordSoftware(v1, time.Minute), 11)
+	for _, k := range keepers {
+		others := k.Find(enginelink.FindStream{Service: "s", Software: "v2"}).Others
+		assert.Equal(t, others, !k.down, k.name)
+		assert.Assert(t, k.Count() <= 1)
+		assert.Assert(t, !k.Find(enginelink.FindStream{Service: "s", Software: "v1"}).Others)
+	}
+	_, alone := newFakeKeepers(0)
+	assert.Equal(t, alone().RecordSoftware(v1, time.Minute), 0)
+}
+
 func TestUnknownStreamIsKnownToBeSoAtOnce(t *testing.T) {
 	_, gateway := newFakeKeepers(12)
 	started := time.Now()
--- a/sendkeepers/sendkeepers.go
+++ b/sendkeepers/sendkeepers.go
@@ -158,6 +158,16 @@
 	return list
 }
 
+// allCandidates returns the linked controllers, whether they reply or not, and the peers that reply if
+// no controller does.
+func (c *Coordinators) allCandidates() []Coordinator {
+	list, now := c.config.Controllers(), boottime.Now()
+	if len(c.choice.Responsive(now, list)) > 0 {
+		return list
+	}
+	return append(list, c.choice.Responsive(now, c.peerCoordinators())...)
+}
+
 // peerCoordinators returns the peers, including this gateway if it is in the list.
 func (c *Coordinators) peerCoordinators() []Coordinator {
 	c.mu.Lock()
