Keep the connection to a peer after the request that opened it

Cause: jsonrpc2 closes a connection when the context of its opening ends, and a gateway opened its connection to a peer with the context of one question. Each question and report therefore opened a connection of its own, and one that followed at once found the last one just before it closed: it failed with "connection is closed", and the peer was passed over for a second.

What callers saw: without controllers, streams whose keepers were passed over were refused as unknown, and sends to limited upstreams were granted by another keeper or waited.

Evidence: TestPeerIsAskedManyTimesOverOneConnection failed 5 of 5 times before: at least ten in 200 questions found a closed connection, and 200 or 201 connections were opened for them and 200 reports.

Change: the connection is opened with a context that doesn't end with the request; it is closed when it is idle, when it breaks and when the gateway ends, as before.

After: 5 of 5 runs pass, with the race detector too; one connection each.

--- a/sendkeepers/peer.go
+++ b/sendkeepers/peer.go
@@ -56,7 +56,7 @@
 }
 
 // connect returns the open connection, or opens a new one if there is none or the peer has closed
-// it.
+// it. The connection outlives ctx, which is that of one request.
 func (p *peer) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -68,7 +68,7 @@
 			return p.rpc, nil
 		}
 	}
-	rpc, err := enginelink.DialPeer(ctx, p.address, SendTimeout)
+	rpc, err := enginelink.DialPeer(context.WithoutCancel(ctx), p.address, SendTimeout)
 	if err != nil {
 		return nil, err
 	}
