Test that peers tell a gateway of software that its list doesn't show yet

Without controllers, gateways tell all peers of each version with which streams begin. The gateway whose list is behind has six other peers; 30 take-ups are decided while one version is known, and 30 after a stream began with another one at a gateway that knows it.

--- a/gateway/softwarehistory_test.go
+++ b/gateway/softwarehistory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"testing"
@@ -14,6 +15,7 @@
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/directory"
 	"sandbarrow.example/sandbarrow/internal/boottime"
+	"sandbarrow.example/sandbarrow/origin"
 )
 
 // lateInstances is a list that does not show the upstreams of a software version yet.
@@ -118,3 +120,53 @@
 	assert.Equal(t, f.takeUpUnnamed(t, 30), 30)
 	assert.Assert(t, time.Since(began) < 5*time.Second)
 }
+
+// newPeers returns addresses at which gateways serve their peers and nothing else.
+func newPeers(t *testing.T, count int) []string {
+	t.Helper()
+	var addresses []string
+	for range count {
+		g := newLoneGateway()
+		addresses = append(addresses, servePeers(t, g))
+	}
+	return addresses
+}
+
+// servePeers makes a gateway serve its peers and returns the address.
+func servePeers(t *testing.T, g *Gateway) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = g.ServePeers(t.Context(), l) }()
+	return l.Addr().String()
+}
+
+func TestUnnamedStreamOfSoftwareNotListedYetIsRefusedWithoutControllers(t *testing.T) {
+	peers := newPeers(t, 6)
+	behind := newLoneGateway(peers...)
+	behind.started = behind.started.Add(-2 * directory.SoftwareRetention)
+	other := newLoneGateway(append(peers, servePeers(t, behind))...)
+	v1, v2 := origin.Origin{Service: testPlain, Software: "v1"}, origin.Origin{Service: testPlain, Software: "v2"}
+	record := func(id sandbarrow.RequestID, o origin.Origin) {
+		c := &call{gateway: other}
+		c.origin = &o
+		c.callerDeadline = boottime.Now().Add(20 * time.Second)
+		c.recordOrigin(id)
+	}
+	wrong := 0
+	record("r0", v1)
+	for i := range 30 {
+		assert.Check(t, behind.software.isOnly(t.Context(), sandbarrow.RequestID(fmt.Sprintf("calm-%d", i)), v1))
+	}
+	record("r1", v2)
+	eventually(t, func() bool {
+		_, known := behind.origins.Find(t.Context(), "r1")
+		return known
+	})
+	for i := range 30 {
+		if behind.software.isOnly(t.Context(), sandbarrow.RequestID(fmt.Sprintf("again-%d", i)), v1) {
+			wrong++
+		}
+	}
+	assert.Equal(t, wrong, 0)
+}
