--- a/route/route.go
+++ b/route/route.go
@@ -68,11 +68,11 @@
 // Service selects a target by weight and returns its service. point is a number from 0
 // up to, but not including, 1.
 func (r *Route) Service(point float64) sandbarrow.ServiceID {
-	total := 0
+	total := 0.0 // as integers, large weights could overflow
 	for _, t := range r.Targets {
-		total += t.Weight
+		total += float64(t.Weight)
 	}
-	left := point * float64(total)
+	left := point * total
 	for _, t := range r.Targets {
 		left -= float64(t.Weight)
 		if left < 0 {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"testing"
 
 	"github.com/juju/errors"
@@ -65,6 +66,12 @@
 	assert.Equal(t, counts["b"], 10)
 }
 
+func TestLargeWeightsKeepTheSplit(t *testing.T) {
+	r := Route{Targets: []Target{{Service: "a", Weight: math.MaxInt}, {Service: "b", Weight: math.MaxInt}}}
+	assert.Equal(t, r.Service(0.25), sandbarrow.ServiceID("a"))
+	assert.Equal(t, r.Service(0.75), sandbarrow.ServiceID("b"))
+}
+
 func TestOnlySafeAndResumableRoutesAreRetryable(t *testing.T) {
 	for _, tc := range []struct {
 		route Route
