Bound what is logged about values of other writers

Cause: each change of a malformed entry, announcement of a version or record of a request that ends upstreams was a log line, and the line repeated the value: the text of a wrong state, or a number of any length.

What operators saw: one entry of 700 KB that changes each 10 ms made log lines of 717,011 bytes.

Change: package refusallog logs each such key once in a minute, 500 keys at most, with texts of at most 300 bytes. sandbarrow_gateway_entries_refused_total still counts each entry.

--- a/crash/share/store.go
+++ b/crash/share/store.go
@@ -12,6 +12,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/crash"
+	"sandbarrow.example/sandbarrow/internal/refusallog"
 	"sandbarrow.example/sandbarrow/prefixwatch"
 )
 
@@ -51,7 +52,8 @@
 // Store writes this gateway's records of fatal requests to the platform's store, and reads those of
 // other gateways. It reads them at the start, and watches for changes while no controller is linked.
 type Store struct {
-	config StoreConfig
+	config   StoreConfig
+	refusals *refusallog.Log
 	// written holds the requests that have been written, sequence the number of the last change of
 	// the log that was written. Only the writing loop uses both.
 	written  map[crash.Fingerprint]bool
@@ -73,7 +75,7 @@
 
 // NewStore returns a Store; Run starts it.
 func NewStore(c StoreConfig) *Store {
-	return &Store{config: c, written: map[crash.Fingerprint]bool{}}
+	return &Store{config: c, refusals: refusallog.New(c.Logger), written: map[crash.Fingerprint]bool{}}
 }
 
 // Run writes and reads records until ctx ends. It returns nil.
@@ -100,7 +102,7 @@
 		}
 		var r storedRecord
 		if err := json.Unmarshal(it.Value, &r); err != nil {
-			s.config.Logger.Warn("kept request not read", "key", it.Key, "error", err.Error())
+			s.refusals.Warn("kept request not read", it.Key, err)
 			continue
 		}
 		elapsed := max(0, time.Now().UnixMilli()-int64(r.Written))
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -19,6 +19,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/internal/boottime"
+	"sandbarrow.example/sandbarrow/internal/refusallog"
 )
 
 // listed is an instance together with its entry in the list.
@@ -51,8 +52,9 @@
 	// last listed.
 	formerSoftware map[listedSoftware]time.Time
 	// refused counts the malformed entries.
-	refused uint64
-	restore restoreState
+	refused  uint64
+	refusals *refusallog.Log
+	restore  restoreState
 }
 
 // New returns an empty directory.
@@ -63,6 +65,7 @@
 		lapsed:         map[sandbarrow.ListedID]sandbarrow.StoreRevision{},
 		list:           list,
 		logger:         logger,
+		refusals:       refusallog.New(logger),
 		restore:        newRestoreState(),
 	}
 }
--- a/directory/merge.go
+++ b/directory/merge.go
@@ -109,7 +109,7 @@
 // program. The upstream gets no new requests until a valid entry follows.
 func (m *merging) refuse(id sandbarrow.ListedID, it sandbarrow.KeyItem, cause error) {
 	m.refused++
-	m.logger.Warn("upstream entry refused", "key", it.Key, "revision", it.Revision, "error", cause.Error())
+	m.refusals.Warn("upstream entry refused", it.Key, cause, "revision", it.Revision)
 	m.removed[id] = it.Revision
 }
 
--- a/estate/estate.go
+++ b/estate/estate.go
@@ -21,6 +21,7 @@
 	"github.com/juju/errors"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/refusallog"
 	"sandbarrow.example/sandbarrow/route"
 )
 
@@ -75,6 +76,7 @@
 type Estate struct {
 	documents Documents
 	logger    *slog.Logger
+	refusals  *refusallog.Log
 	view      atomic.Pointer[View]
 
 	// Fetching is held while changes are fetched from a peer. If many peers publish the same change, it is
@@ -96,7 +98,7 @@
 // New returns an estate without any state.
 func New(d Documents, logger *slog.Logger) *Estate {
 	return &Estate{
-		changed: make(chan struct{}), documents: d, items: map[string]sandbarrow.KeyItem{}, logger: logger,
+		changed: make(chan struct{}), documents: d, items: map[string]sandbarrow.KeyItem{}, logger: logger, refusals: refusallog.New(logger),
 		confirmation: confirmation{notNewer: map[sandbarrow.StoreEra]sandbarrow.StoreRevision{}},
 	}
 }
@@ -205,7 +207,7 @@
 	}
 	version, err := e.versionOf(it)
 	if err != nil {
-		e.logger.Warn("malformed operators' key of another era ignored", "key", it.Key, "revision", it.Revision, "error", err.Error())
+		e.refusals.Warn("malformed operators' key of another era ignored", it.Key, err, "revision", it.Revision)
 		return false
 	}
 	knownVersion, err := e.versionOf(known)
@@ -275,7 +277,7 @@
 		}
 		return
 	case !errors.Is(err, ErrOtherKey):
-		e.logger.Warn("adapter version refused, the last one stays", "key", it.Key, "revision", it.Revision, "error", err.Error())
+		e.refusals.Warn("adapter version refused, the last one stays", it.Key, err, "revision", it.Revision)
 		return
 	}
 	if !e.documents.IsTable(it.Key) {
@@ -283,7 +285,7 @@
 	}
 	table, err := e.documents.Table(it.Value)
 	if err != nil {
-		e.logger.Error("configuration refused, the last one stays", "key", it.Key, "revision", it.Revision, "error", err.Error())
+		e.logger.Error("configuration refused, the last one stays", "key", it.Key, "revision", it.Revision, "error", refusallog.Clip(err.Error()))
 		return
 	}
 	sameEra := next.Table == nil || it.Revision.Era() == next.Revision.Era()
