Bound the slots that permits count with

Cause: the slots of an entry, any positive number, are multiplied by a time and added to the queue at the upstream. Both overflow: from 2^32 slots on at an objective of 9 s, and near 2^63.

What callers saw: an upstream with such a number that became contended ran one request at a time, and the others waited or were refused.

Evidence: TestLargeSlotCountsGrantAtOnce failed 1 of 1 before: with 2^32 slots the limit is 1 permit. The divisions by slots can't be by zero with any 64-bit number. Other uses of slots (gateway/serveplain.go) only divide by them.

Change: an upstream counts as having at most twice as many slots as permits may be outstanding there; more were never used.

After: passed, with all tests of the package, 1 of 1.

--- a/permit/upstream.go
+++ b/permit/upstream.go
@@ -34,6 +34,9 @@
 	maxWaiting = 512
 	// maxOutstanding bounds the permits that are known for one upstream.
 	maxOutstanding = 4096
+	// maxSlots bounds the slots of an upstream. More permits than these are never outstanding, and sums and
+	// products of more could overflow.
+	maxSlots = 2 * maxOutstanding
 	// maxTTL bounds the time for which a permit that is not returned counts, whatever its request names.
 	maxTTL = time.Minute
 )
@@ -72,6 +75,7 @@
 }
 
 func newUpstream(slots int) *upstream {
+	slots = min(slots, maxSlots)
 	return &upstream{outstanding: map[ID]held{}, queueLimit: maxQueue(slots), slots: slots}
 }
 
@@ -80,6 +84,7 @@
 
 // setSlots applies the number of slots that a gateway reads in the list.
 func (u *upstream) setSlots(slots int) {
+	slots = min(slots, maxSlots)
 	if slots > 0 && slots != u.slots {
 		u.slots, u.queueLimit = slots, maxQueue(slots)
 	}
