Follow the box list beside rows that can't be read

Cause: the list was decoded as a whole. One row with a wrong type, a number too large or a deep nesting, and the decoder refused all rows; null was an empty list.

What callers saw: entries that no longer learnt of new agents, and of those that drain, and agents that didn't drain, until somebody removed the row; an entry that started meanwhile served nothing.

Change: the rows are told apart by brackets and strings alone, and each is decoded by itself. One that describes no box, or has no id, is left out and logged.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -97,7 +97,7 @@
 		follower:    config.NewFollower(st, logger),
 		incarnation: sandbarrow.Incarnation(uuid.NewString()),
 		lease:       lease.NewHolder(st, "leases/"+string(u.ID), time.Duration(s.Agent.LeaseTTL), logger),
-		boxList:     newBoxList(s),
+		boxList:     newBoxList(s, logger),
 		listener:    listener,
 		logger:      logger,
 		scheduler: schedule.New(schedule.Options{
--- a/agent/stop.go
+++ b/agent/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"sandbarrow.example/sandbarrow"
@@ -23,11 +24,11 @@
 	replyFlushDelay = 200 * time.Millisecond
 )
 
-func newBoxList(s *settings.Settings) sandbarrow.BoxList {
+func newBoxList(s *settings.Settings, logger *slog.Logger) sandbarrow.BoxList {
 	if s.Platform.BoxList == "" {
 		return nil
 	}
-	return boxlist.NewHTTP(s.Platform.BoxList)
+	return boxlist.NewHTTP(s.Platform.BoxList, logger)
 }
 
 // watchBoxList drains the agent when the box list reports its box as draining.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -87,7 +87,7 @@
 		follower:     config.NewFollower(st, logger),
 		draining:     map[sandbarrow.BoxID]bool{},
 		limits:       limit.NewClasses(),
-		list:         boxlist.NewHTTP(s.Platform.BoxList),
+		list:         boxlist.NewHTTP(s.Platform.BoxList, logger),
 		listener:     listener,
 		logger:       logger,
 		peers:        map[sandbarrow.BoxID]*peer{},
