Ignore implausible demand in the stored list

Cause: a stored weight could be any positive number. Near the largest floating-point number the list of the busiest adapters can't be encoded again, and any larger one than real demand stays the busiest for hours.

What callers saw: after one such value under sandbarrow/demand/, the controllers of the service stored no list any more ("demand not stored"), so an engine that came back empty was filled with nothing.

Change: an adapter with a weight above 10^9 is ignored, as one without demand.

--- a/demand/demand_test.go
+++ b/demand/demand_test.go
@@ -100,8 +100,30 @@
 	assert.DeepEqual(t, list, List{{Key: sandbarrow.AdapterKey{Adapter: "y", Model: "b"}, Weight: 3}})
 }
 
+// Guards against a stored list that keeps demand from being stored again.
+func TestListAfterOddWeightsIsStored(t *testing.T) {
+	for _, weight := range []string{"1e308", "1.7976931348623157e308", "1e18", "9223372036854775808"} {
+		list, err := Decode([]byte(`[{"m":"b","a":["x","y"],"w":[` + weight + `,3]}]`))
+		assert.NilError(t, err)
+		var c Counts
+		now := time.Now()
+		c.Merge(now, list)
+		for range 100 {
+			c.Add(now, sandbarrow.AdapterKey{Adapter: "z", Model: "b"}, 5)
+			c.Merge(now, list)
+		}
+		_, err = c.Busiest(now).Encode()
+		assert.NilError(t, err, weight)
+		assert.Equal(t, len(c.Busiest(now)), 2, "y and z")
+		c.Merge(now, nil)
+		later := now.Add(30 * time.Minute)
+		assert.Equal(t, len(c.Busiest(later)), 0, "%s is demand for ever", weight)
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(`[{"m":"b","a":["x"],"w":[1]}]`))
+	f.Add([]byte(`[{"m":"b","a":["x"],"w":[1e308]}]`))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		list, err := Decode(text)
 		if err != nil {
--- a/demand/encoding.go
+++ b/demand/encoding.go
@@ -15,6 +15,9 @@
 	MaxEntries = 400
 	// MaxBytes is the largest size of an encoded list.
 	MaxBytes = 16 << 10
+	// maxWeight is more than the requests for any adapter within the half-life. It decays to no demand
+	// within half an hour.
+	maxWeight = 1e9
 )
 
 // ErrMalformed means that a stored value is not an encoded list.
@@ -61,7 +64,7 @@
 }
 
 // Decode returns an encoded list, the busiest first. A value of another process or build that does
-// not hold a list gives ErrMalformed. Entries without a name or demand are ignored.
+// not hold a list gives ErrMalformed. Entries without a name, or with no plausible demand, are ignored.
 func Decode(text []byte) (List, error) {
 	if len(text) > MaxBytes {
 		return nil, errors.Annotatef(ErrMalformed, "%d bytes", len(text))
@@ -76,7 +79,7 @@
 			return nil, errors.Annotatef(ErrMalformed, "%d adapters with %d weights", len(m.Adapters), len(m.Weights))
 		}
 		for i, adapter := range m.Adapters {
-			if adapter != "" && m.Model != "" && m.Weights[i] > 0 {
+			if adapter != "" && m.Model != "" && m.Weights[i] > 0 && m.Weights[i] <= maxWeight {
 				list = append(list, Entry{Key: sandbarrow.AdapterKey{Adapter: adapter, Model: m.Model}, Weight: Weight(m.Weights[i])})
 			}
 		}
