--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -188,8 +188,7 @@
 	g.permits = newSendPermits(g)
 	g.origins = sendkeepers.NewOrigins(g.permits.coordinators, &g.ownOrigins)
 	g.plainPermits = newPlainPermits(g)
-	g.software = newSoftwareHistory(g)
-	g.softwareRecords = newSoftwareRecords(g)
+	g.software, g.softwareRecords = newSoftwareHistory(g), newSoftwareRecords(g)
 	g.upstreams = &upstreams{gateway: g, waiting: map[sandbarrow.InstanceID]*waits{}}
 	c.Metrics.MustRegister(
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
