Take on more in the first seconds of a planned stop

While a stopping gateway accepts connections, callers whose requests are refused come back to it. One mean deviation is enough there; two remain for callers who find another gateway at once.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -149,11 +149,13 @@
 	return c.refusing
 }
 
-// drain accepts no more connections, and closes those that are open as they become idle. It returns
-// how many are open when ctx ends, or 0 as soon as none is.
+// drain accepts no more connections, and closes those that are open as they become idle. It returns as
+// soon as none is, or after some time at most.
 //
 // The server's own Shutdown would also close connections whose next request it has read.
-func (c *callers) drain(ctx context.Context) int64 {
+func (c *callers) drain(atMost time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), atMost)
+	defer cancel()
 	_ = c.listener.Close() // fails only if the server has closed it
 	select {
 	case <-c.accepted:
@@ -162,11 +164,10 @@
 	for ctx.Err() == nil {
 		c.idle.CloseAll(httpserve.ClosedForStop)
 		if c.open.Load() == 0 {
-			break
+			return
 		}
 		pause.For(ctx, drainInterval)
 	}
-	return c.open.Load()
 }
 
 // end ends a request.
--- a/gateway/routetimes.go
+++ b/gateway/routetimes.go
@@ -9,9 +9,6 @@
 	// meanShare and deviationShare are the divisors by which a duration changes the mean and the mean
 	// deviation, as for TCP's round trips (RFC 6298).
 	meanShare, deviationShare = 8, 4
-	// expectedDeviations is how many mean deviations above the mean a request is expected to take at most.
-	// About one in twenty takes longer.
-	expectedDeviations = 2
 	// maxRouteTimes bounds the routes that are followed, as operators may rename theirs at any time.
 	maxRouteTimes = 4096
 )
@@ -28,12 +25,18 @@
 	mean, deviation time.Duration
 }
 
-// expected returns the time within which most requests of a route end; ok is false if none has ended.
-func (r *routeTimes) expected(route string) (most time.Duration, ok bool) {
+// within returns the time within which a request ends that takes so many mean deviations longer than the
+// mean.
+func (e durationEstimate) within(deviations int) time.Duration {
+	return e.mean + time.Duration(deviations)*e.deviation
+}
+
+// usual returns how long the requests of a route take; ok is false if none has ended.
+func (r *routeTimes) usual(route string) (e durationEstimate, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e, ok := r.byRoute[route]
-	return e.mean + expectedDeviations*e.deviation, ok
+	e, ok = r.byRoute[route]
+	return e, ok
 }
 
 // observe records how long a request took.
--- a/gateway/routetimes_test.go
+++ b/gateway/routetimes_test.go
@@ -11,20 +11,21 @@
 
 func TestRouteTimesExceedMostRequests(t *testing.T) {
 	var r routeTimes
-	_, known := r.expected("r")
+	_, known := r.usual("r")
 	assert.Assert(t, !known)
 	random := rand.New(rand.NewPCG(1, 1))
 	longer := 0
 	const requests = 10000
 	for range requests {
 		took := time.Duration(random.ExpFloat64() * float64(100*time.Millisecond))
-		if most, known := r.expected("r"); known && took > most {
+		if usual, known := r.usual("r"); known && took > usual.within(safeDeviations) {
 			longer++
 		}
 		r.observe("r", took)
 	}
 	assert.Check(t, longer < requests/8, "%d of %d took longer than expected", longer, requests)
-	most, _ := r.expected("r")
+	usual, _ := r.usual("r")
+	most := usual.within(safeDeviations)
 	assert.Check(t, most < time.Second, "%s", most)
 }
 
@@ -36,7 +37,8 @@
 	for range 3 {
 		r.observe("r", time.Second)
 	}
-	most, _ := r.expected("r")
+	usual, _ := r.usual("r")
+	most := usual.within(safeDeviations)
 	assert.Check(t, most > 500*time.Millisecond, "%s", most)
 }
 
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -76,22 +76,15 @@
 	g.stopping.Store(s)
 	g.logger.Info("gateway stops", "grace", g.config.StopGrace.String(), "connections", g.callers.open.Load(), "requests", g.callers.inProgress())
 	time.Sleep(s.acceptsUntil.Sub(s.began))
-	g.drain(boottime.Until(s.callsEnd))
+	g.callers.drain(boottime.Until(s.callsEnd))
 	g.endRunning()
-	g.drain(lastResponsesTime)
+	g.callers.drain(lastResponsesTime)
 	_ = server.Close() // its listener is closed already
 	g.callers.awaitHandlers(lastLinesTime)
 	g.logger.Info("gateway stopped", "took", time.Since(began).String(), "finished", s.finished.Load(), "refused", s.refused.Load(), "cut", s.cut.Load(), "left", s.left.Load(), "failed", s.failed.Load())
 	return nil
 }
 
-// drain waits until no connection is open, for some time at most.
-func (g *Gateway) drain(atMost time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), atMost)
-	defer cancel()
-	g.callers.drain(ctx)
-}
-
 // endRunning ends the requests that still run at the end of a planned stop.
 func (g *Gateway) endRunning() {
 	if running := g.callers.inProgress(); running > 0 {
--- a/gateway/stopfit.go
+++ b/gateway/stopfit.go
@@ -10,16 +10,25 @@
 // This file decides which requests a gateway still takes on in a planned stop. Those that can't be
 // finished before its end are refused at once, while their callers have time to go elsewhere.
 
+// The number of mean deviations above the mean by which a request is expected to end.
+const (
+	// likelyDeviations is for callers who would come back to the same gateway if they were refused. One in
+	// six requests takes longer, of durations that spread exponentially.
+	likelyDeviations = 1
+	// safeDeviations is for callers who find another gateway at once. One in twelve takes longer.
+	safeDeviations = 2
+)
+
 // stopFit is what decides whether a request can be finished before a planned stop ends those that still
 // run.
 type stopFit struct {
 	// left is the time until then.
 	left time.Duration
-	// bound is the time until the request's own deadline, by which it has a final response.
-	bound time.Duration
-	// expected is how long requests of its route take, if known is set.
-	expected time.Duration
-	known    bool
+	// deadline is the time until the request's own deadline, by which it has a final response.
+	deadline time.Duration
+	// usual is how long requests of its route take, if known is set.
+	usual durationEstimate
+	known bool
 	// accepting says that the gateway still accepts connections: callers can't know of the stop yet, and
 	// would come back to the same gateway.
 	accepting bool
@@ -32,12 +41,12 @@
 // route usually take no longer than what is left and the risk is worth it.
 func (f stopFit) fits() bool {
 	switch {
-	case f.bound <= f.left:
+	case f.deadline <= f.left:
 		return true
 	case f.accepting:
-		return !f.known || f.expected <= f.left
+		return !f.known || f.usual.within(likelyDeviations) <= f.left
 	}
-	return f.replaceable && f.known && f.expected <= f.left
+	return f.replaceable && f.known && f.usual.within(safeDeviations) <= f.left
 }
 
 // fitsStop decides whether the call can be finished before a planned stop ends it; true at other times.
@@ -48,10 +57,10 @@
 	}
 	now := boottime.Now()
 	f := stopFit{
-		left: s.callsEnd.Sub(now), bound: c.deadline.Sub(now), accepting: now.Before(s.acceptsUntil),
+		left: s.callsEnd.Sub(now), deadline: c.deadline.Sub(now), accepting: now.Before(s.acceptsUntil),
 		replaceable: c.route.Retryable() && c.route.Kind != route.KindStream,
 	}
-	f.expected, f.known = c.gateway.routeTimes.expected(c.route.Name)
+	f.usual, f.known = c.gateway.routeTimes.usual(c.route.Name)
 	return f.fits()
 }
 
