Keep the first record of a software version where a table of origins is full

Cause: a table with 32,768 records dropped every further one, also that of a version of which it knew no stream. It then replied that no stream had begun with that version.

What callers would see: an unnamed stream of the new version goes on at the old one, once all controllers are full. Not seen in a run of processes; found by reading.

Evidence: TestFullTableKeepsFirstRecordOfOtherSoftware failed before (32768 records, not 32769).

Change: the first record of a service and version is kept beyond the bound. Gateways tell all controllers of a version before they report its streams, and again before that record ends, so the record of the version is the one that is kept. The excess is one record for each service and version.

After: the test passes, and so does the test of the bound, which is unchanged.

--- a/origin/table.go
+++ b/origin/table.go
@@ -8,7 +8,7 @@
 
 const (
 	// maxOrigins bounds the records of a table, at some 200 bytes each and at most 500. Streams beyond it can't be
-	// resumed by way of this process.
+	// resumed by way of this process. The first record of a service and software version is kept beyond it.
 	maxOrigins = 32768
 	// maxIDBytes bounds the ids that are recorded.
 	maxIDBytes = 256
@@ -40,7 +40,7 @@
 	t.sweep(now)
 	expires := now.Add(min(lifetime, MaxLifetime))
 	known, has := t.records[id]
-	if !has && len(t.records) >= maxOrigins || len(id) > maxIDBytes {
+	if !has && len(t.records) >= maxOrigins && t.streams[o] > 0 || len(id) > maxIDBytes {
 		return
 	}
 	if has && now.Before(known.expires) {
--- a/origin/table_test.go
+++ b/origin/table_test.go
@@ -59,6 +59,22 @@
 	assert.Assert(t, !table.AnyOther(now.Add(4*time.Second), testOrigin))
 }
 
+func TestFullTableKeepsFirstRecordOfOtherSoftware(t *testing.T) {
+	var table Table
+	now := time.Unix(1000, 0)
+	for i := range maxOrigins {
+		table.Add(now, sandbarrow.RequestID(strconv.Itoa(i)), testOrigin, time.Minute)
+	}
+	other := Origin{Service: "s", Software: "v2"}
+	table.Add(now, "v2", other, 3*time.Second)
+	table.Add(now, "further", other, 3*time.Second)
+	assert.Equal(t, table.Len(), maxOrigins+1)
+	assert.Assert(t, table.AnyOther(now, testOrigin))
+	table.Add(now.Add(2*time.Second), "v2", other, 3*time.Second)
+	assert.Assert(t, table.AnyOther(now.Add(4*time.Second), testOrigin))
+	assert.Assert(t, !table.AnyOther(now.Add(6*time.Second), testOrigin))
+}
+
 func TestTableIsBoundedAndForgetsExpiredRecords(t *testing.T) {
 	var table Table
 	now := time.Unix(1000, 0)
