Read the state of fake keepers of streams without a data race

The tests set whether a fake keeper is down while questions that have got enough replies are still on their way to it. The state is atomic now; the tests and what they demand are unchanged. After: go test -race -count=3 ./sendkeepers passes.

--- a/sendkeepers/origins_test.go
+++ b/sendkeepers/origins_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,7 +21,8 @@
 type fakeKeeper struct {
 	enginelink.OriginKeeper
 	name string
-	down bool
+	// down is read by questions that are on their way while a test goes on.
+	down atomic.Bool
 }
 
 var errDown = errors.ConstError("down")
@@ -31,14 +33,14 @@
 }
 func (k *fakeKeeper) Sent(enginelink.Sent) {}
 func (k *fakeKeeper) FindStream(ctx context.Context, q enginelink.FindStream) (enginelink.StreamOrigin, error) {
-	if k.down {
+	if k.down.Load() {
 		<-ctx.Done()
 		return enginelink.StreamOrigin{}, ctx.Err()
 	}
 	return k.Find(q), nil
 }
 func (k *fakeKeeper) StreamBegan(m enginelink.StreamBegan) error {
-	if k.down {
+	if k.down.Load() {
 		return errDown
 	}
 	k.Add(m)
@@ -80,7 +82,7 @@
 		o, known := unlinked.Find(t.Context(), began(i).ID)
 		assert.Assert(t, known && o.Allows("s", "v1"), "stream %d", i)
 	}
-	keepers[3].down = true
+	keepers[3].down.Store(true)
 	for i := range 100 {
 		o, known := all.Find(t.Context(), began(i).ID)
 		assert.Assert(t, known && o.Allows("s", "v1"), "stream %d", i)
@@ -98,7 +100,7 @@
 	a.Record(other)
 	assert.Assert(t, !a.IsOnly(t.Context(), "another", known.Origin()))
 	for _, k := range keepers {
-		k.down = true
+		k.down.Store(true)
 	}
 	assert.Assert(t, !gateway().IsOnly(t.Context(), "another", known.Origin()))
 }
@@ -113,14 +115,14 @@
 		other.Software = "v2"
 		gateway().Record(other)
 		assert.Assert(t, !gateway().IsOnlyAmong(t.Context(), controllers, only), "stream %d", i)
-		keepers[i%controllers].down = true
+		keepers[i%controllers].down.Store(true)
 		assert.Assert(t, !gateway().IsOnlyAmong(t.Context(), controllers, only), "stream %d, a keeper is down", i)
 	}
 	keepers, gateway := newFakeKeepers(controllers)
-	keepers[0].down = true
+	keepers[0].down.Store(true)
 	assert.Assert(t, gateway().IsOnlyAmong(t.Context(), controllers, only))
 	assert.Assert(t, !gateway().IsOnlyAmong(t.Context(), controllers+1, only), "another controller is not linked")
-	keepers[1].down = true
+	keepers[1].down.Store(true)
 	assert.Assert(t, !gateway().IsOnlyAmong(t.Context(), controllers, only))
 	_, alone := newFakeKeepers(0)
 	assert.Assert(t, !alone().IsOnlyAmong(t.Context(), 0, only))
@@ -128,13 +130,13 @@
 
 func TestSoftwareIsKnownAtAllControllers(t *testing.T) {
 	keepers, gateway := newFakeKeepers(12)
-	keepers[5].down = true
+	keepers[5].down.Store(true)
 	v1 := origin.Origin{Service: "s", Software: "v1"}
 	assert.Equal(t, gateway().RecordSoftware(v1, time.Minute), 11)
 	assert.Equal(t, gateway().RecordSoftware(v1, time.Minute), 11)
 	for _, k := range keepers {
 		others := k.Find(enginelink.FindStream{Service: "s", Software: "v2"}).Others
-		assert.Equal(t, others, !k.down, k.name)
+		assert.Equal(t, others, !k.down.Load(), k.name)
 		assert.Assert(t, k.Count() <= 1)
 		assert.Assert(t, !k.Find(enginelink.FindStream{Service: "s", Software: "v1"}).Others)
 	}
@@ -154,7 +156,7 @@
 	keepers, gateway := newFakeKeepers(6)
 	a := gateway()
 	for _, k := range keepers[:3] {
-		k.down = true
+		k.down.Store(true)
 	}
 	for i := range 50 {
 		a.Record(began(i))
