Don't close a connection as idle whose next request is being read

Cause: a connection counts as idle while its server waits in a read and nothing lies in its receive buffer. Bytes that the read had taken out of the buffer, and whose arrival it hadn't recorded yet, were in neither place. If the connection was closed in between, they were dropped. That is rare as long as a process runs freely; after it has stood still, the read and the timer of the idle bound become ready at the same moment.

What callers saw: a request that had been sent on a kept connection, read, and not passed on ended with the end of the connection 0.2 to 1 s later, with no answer.

Change: a connection with a file descriptor is read under the lock under which the decision looks at it, so that what has arrived is in the buffer or recorded. The read waits outside the lock. The close is outside it too, as it waits for a pending read.

--- a/httpserve/conn.go
+++ b/httpserve/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -42,6 +43,8 @@
 // concurrent use.
 type Conn struct {
 	net.Conn
+	// raw reads without waiting; nil for a connection without a file descriptor.
+	raw syscall.RawConn
 
 	mu    sync.Mutex
 	cause CloseCause
@@ -68,6 +71,15 @@
 	Rested time.Duration
 }
 
+// newConn returns a connection that was accepted.
+func newConn(conn net.Conn) *Conn {
+	c := &Conn{Conn: conn}
+	if s, ok := conn.(syscall.Conn); ok {
+		c.raw, _ = s.SyscallConn() // fails only if the connection is closed
+	}
+	return c
+}
+
 // Close closes the connection. The cause is the server's unless another one is known.
 //
 // Closing a socket with unread bytes resets the connection, and its caller loses what it has not received
@@ -97,8 +109,34 @@
 	if !c.beginRead() {
 		return 0, net.ErrClosed
 	}
-	n, err := c.Conn.Read(p)
-	return c.endRead(n, err)
+	if c.raw == nil || len(p) == 0 {
+		n, err := c.Conn.Read(p)
+		return c.endRead(n, err)
+	}
+	return c.readRaw(p)
+}
+
+// readRaw reads under mu, so that closeIfIdle finds bytes either in the receive buffer or recorded here.
+func (c *Conn) readRaw(p []byte) (n int, err error) {
+	ended := false
+	waitErr := c.raw.Read(func(fd uintptr) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		n = 0
+		if err = net.ErrClosed; c.cause == "" {
+			n, err = socket.Read(fd, p)
+		}
+		if errors.Is(err, socket.ErrNoBytes) {
+			return false
+		}
+		n, err = c.endReadLocked(n, err)
+		ended = true
+		return true
+	})
+	if ended {
+		return n, err
+	}
+	return c.endRead(0, waitErr)
 }
 
 // Use returns what the connection has been used for.
@@ -130,23 +168,36 @@
 // bytes, it has read some since its last response, or some have arrived. It reports whether the
 // connection is closed.
 func (c *Conn) closeIfIdle(cause CloseCause) bool {
+	closes, wasClosed := c.decideIdle(cause)
+	if closes {
+		_ = c.Conn.Close() // the caller may have closed it already; waits for a pending read, which takes mu
+	}
+	return closes || wasClosed
+}
+
+// decideIdle decides whether the connection is closed as idle, and reports whether it was closed before.
+func (c *Conn) decideIdle(cause CloseCause) (closes, wasClosed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.cause != "" {
-		return true
+		return false, true
 	}
 	incomplete := c.unanswered && time.Since(c.lastRead) < headerTimeout
 	if !c.reading || incomplete || socket.Look(c.Conn) == socket.Bytes {
-		return false
+		return false, false
 	}
 	c.cause = cause
-	_ = c.Conn.Close() // the caller may have closed it already
-	return true
+	return true, false
 }
 
 func (c *Conn) endRead(n int, err error) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.endReadLocked(n, err)
+}
+
+// endReadLocked records the end of a read. The caller holds mu.
+func (c *Conn) endReadLocked(n int, err error) (int, error) {
 	c.reading = false
 	if c.cause != "" {
 		return 0, net.ErrClosed
@@ -193,7 +244,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: conn}, nil
+	return newConn(conn), nil
 }
 
 type connKey struct{}
--- a/httpserve/idlecloser_test.go
+++ b/httpserve/idlecloser_test.go
@@ -217,3 +217,29 @@
 		})
 	}
 }
+
+// Guards against a close of a connection whose request has been read but not passed on yet.
+func TestConnectionWhoseBytesAreBeingReadIsNotIdle(t *testing.T) {
+	near, far := waitingPair(t)
+	byte1 := make([]byte, 1)
+	for i := range 400 {
+		_, err := far.Write([]byte("G"))
+		assert.NilError(t, err)
+		assert.Assert(t, !near.closeIfIdle(ClosedIdle), "closed with a byte that had arrived, after %d others", i)
+		await.Until(t, 2*time.Second, "the byte", func() bool {
+			near.mu.Lock()
+			defer near.mu.Unlock()
+			return near.unanswered
+		})
+		_, err = near.Write([]byte("H"))
+		assert.NilError(t, err)
+		_, err = far.Read(byte1)
+		assert.NilError(t, err)
+		go func() { _, _ = near.Read(make([]byte, 1)) }()
+		await.Until(t, 2*time.Second, "a read", func() bool {
+			near.mu.Lock()
+			defer near.mu.Unlock()
+			return near.reading
+		})
+	}
+}
--- a/internal/socket/pending.go
+++ b/internal/socket/pending.go
@@ -1,4 +1,5 @@
-// Package socket looks at what a connection has received and discards it. It keeps no state.
+// Package socket looks at what a connection has received, reads it or discards it, without waiting. It keeps no
+// state.
 package socket
 
 import (
