Give the system tests' calls connections that other tests don't close

Cause: these tests run in parallel and made their own calls by the default HTTP client. Each httptest.Server closes the idle connections of that client as it is closed, also one that another test is about to use.

Change: a client of their own, with connections of its own. No check changes.

--- a/internal/systest/caller_test.go
+++ b/internal/systest/caller_test.go
@@ -139,7 +139,7 @@
 	if header != "" {
 		req.Header.Set(header, value)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := controlClient.Do(req)
 	assert.NilError(t, err)
 	defer resp.Body.Close()
 	var p entry.Problem
--- a/internal/systest/entrystop_test.go
+++ b/internal/systest/entrystop_test.go
@@ -73,7 +73,7 @@
 		request, err := http.NewRequest(http.MethodPost, s.urls[0]+"/receipts/new", strings.NewReader(id))
 		assert.NilError(t, err)
 		request.Header.Set("Authorization", "Bearer "+callerKey)
-		response, err := http.DefaultClient.Do(request)
+		response, err := controlClient.Do(request)
 		assert.NilError(t, err)
 		defer response.Body.Close()
 		_, err = io.Copy(io.Discard, response.Body)
--- a/internal/systest/system_test.go
+++ b/internal/systest/system_test.go
@@ -171,6 +171,10 @@
 	}
 }
 
+// controlClient is for calls of the tests that run in parallel. They can't share the default client: each
+// httptest.Server closes the idle connections of that as it is closed.
+var controlClient = &http.Client{Transport: &http.Transport{}}
+
 // options describes a system under test.
 type options struct {
 	checksToken bool
@@ -338,7 +342,7 @@
 	assert.NilError(s.t, err)
 	req, err := http.NewRequest(method, url, bytes.NewReader(body))
 	assert.NilError(s.t, err)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := controlClient.Do(req)
 	assert.NilError(s.t, err)
 	_ = resp.Body.Close()
 	assert.Equal(s.t, resp.StatusCode, http.StatusOK)
@@ -360,7 +364,7 @@
 // readJSON decodes a JSON response of a stand-in.
 func (s *system) readJSON(url string, v any) {
 	s.t.Helper()
-	resp, err := http.Get(url)
+	resp, err := controlClient.Get(url)
 	assert.NilError(s.t, err)
 	defer resp.Body.Close()
 	assert.NilError(s.t, json.NewDecoder(resp.Body).Decode(v))
@@ -368,7 +372,7 @@
 
 // metric returns one unlabelled metric of a process, or -1 if it is missing.
 func metric(url, name string) float64 {
-	resp, err := http.Get(url + "/metrics")
+	resp, err := controlClient.Get(url + "/metrics")
 	if err != nil {
 		return -1
 	}
