--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -28,7 +28,7 @@
 // plannedStop is a planned stop in progress. Its times are of package boottime.
 type plannedStop struct {
 	began time.Time
-	// acceptsUntil is when the gateway stops to accept connections.
+	// acceptsUntil is when the gateway stops accepting connections.
 	acceptsUntil time.Time
 	// callsEnd is when requests that still run are ended.
 	callsEnd time.Time
