Review case 5: silent links hold all places of the engines

Shown: open connections between gateways and controllers go silent once. The pins of the silent links are never released, and no engine loads another adapter: requests on a route that is added later are all refused.

--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -37,6 +37,9 @@
 	trouble bool
 	net     string
 	ports   ports
+	// proxied makes the gateways reach the controllers through links, which are proxies.
+	proxied bool
+	links   []*proxy
 	store   *store
 	runners []*runner
 
@@ -47,7 +50,7 @@
 }
 
 // ports are the ports of the machines, alike on all of them.
-type ports struct{ http, ready, peer, metrics, rpc, app, store int }
+type ports struct{ http, ready, peer, metrics, rpc, link, app, store int }
 
 // run is one run of a request at a runner.
 type run struct {
@@ -79,7 +82,7 @@
 	must(err)
 	l := &lab{began: time.Now(), dir: dir, file: file, trouble: os.Getenv("TROUBLE") != "0"}
 	l.net = fmt.Sprintf("127.%d.%d.", 20+os.Getpid()%200, time.Now().UnixNano()/1000%250)
-	l.ports = ports{http: l.freePort(), ready: l.freePort(), peer: l.freePort(), metrics: l.freePort(), rpc: l.freePort(), app: l.freePort(), store: l.freePort()}
+	l.ports = ports{http: l.freePort(), ready: l.freePort(), peer: l.freePort(), metrics: l.freePort(), rpc: l.freePort(), link: l.freePort(), app: l.freePort(), store: l.freePort()}
 	l.store = newStore(l.at(250, l.ports.store))
 	l.record("trouble: %v", l.trouble)
 	return l
@@ -155,6 +158,14 @@
 	}
 }
 
+// linkPort returns the port at which gateways reach controllers.
+func (l *lab) linkPort() int {
+	if l.proxied {
+		return l.ports.link
+	}
+	return l.ports.rpc
+}
+
 // startGateway starts a gateway with the fields of the deploy file's template, and more of them.
 func (l *lab) startGateway(machine, seeds int, more map[string]any) *process {
 	var peers []string
@@ -162,7 +173,7 @@
 		peers = append(peers, l.at(1+i, l.ports.peer))
 	}
 	gateway := map[string]any{
-		"controller_port": l.ports.rpc, "leave_bound": "2000ms", "max_descriptors": 4100, "memory_mb": 284, "peers": peers,
+		"controller_port": l.linkPort(), "leave_bound": "2000ms", "max_descriptors": 4100, "memory_mb": 284, "peers": peers,
 		"regions": map[string]string{"zone-a": "region-a"}, "retry_share": 0.2, "retry_slack": 58, "stop_grace": "8s",
 	}
 	for k, v := range more {
--- a/review/lab/lost_event.go
+++ b/review/lab/lost_event.go
@@ -40,6 +40,9 @@
 	for i := range engines {
 		r := l.addRunner(11+i, "llm", true)
 		sides = append(sides, l.startController(r, 11+i, nil))
+		if l.proxied {
+			l.links = append(l.links, newProxy(l.at(11+i, l.ports.link), l.at(11+i, l.ports.rpc)))
+		}
 	}
 	for i := range 2 {
 		l.addRunner(101+i, "api", false)
--- a/review/lab/runner.go
+++ b/review/lab/runner.go
@@ -53,6 +53,8 @@
 	work time.Duration
 	// breakAfter, if over 0, makes the runner fall over once it has made that many events of a stream.
 	breakAfter int
+	// slowRead makes the runner read bodies slowly.
+	slowRead bool
 	// lastEntry is the entry as it was last written, without the count.
 	lastEntry string
 }
@@ -243,7 +245,7 @@
 
 func (r *runner) serveRequest(w http.ResponseWriter, q *http.Request) {
 	id := q.Header.Get("X-Sandbarrow-Request-Id")
-	_, _ = io.Copy(io.Discard, q.Body)
+	r.readBody(q)
 	h := w.Header()
 	h.Set("X-Sandbarrow-Request-Id", id)
 	h.Set("X-Sandbarrow-Instance-Id", r.instance())
@@ -271,6 +273,20 @@
 	r.stream(w, q, id)
 }
 
+// readBody reads the body of a request.
+func (r *runner) readBody(q *http.Request) {
+	r.mu.Lock()
+	slow := r.slowRead
+	r.mu.Unlock()
+	for slow {
+		if _, err := io.CopyN(io.Discard, q.Body, 64<<10); err != nil {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	_, _ = io.Copy(io.Discard, q.Body)
+}
+
 // stream makes the events of a stream after the last one that the request names.
 func (r *runner) stream(w http.ResponseWriter, q *http.Request, id string) {
 	last, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
@@ -287,11 +303,11 @@
 		case <-time.After(wait):
 		case <-q.Context().Done():
 			r.lab.record("runner %s stops work on %s before event %d: its connection is closed", r.id, id, n)
-			return
+			panic(http.ErrAbortHandler)
 		}
 		if breakAfter > 0 && n > breakAfter {
 			r.crash()
-			return
+			panic(http.ErrAbortHandler)
 		}
 		if n == last+1 {
 			r.lab.record("runner %s makes its first event of %s: %d", r.instance(), id, n)
