Review case 4: wider window

The runners take 0.8 s to the first event of a resumed stream, and the controller is killed 0.3 s after the streams are resumed, so that a busy machine meets the case as well.

--- a/review/lab/lost_event.go
+++ b/review/lab/lost_event.go
@@ -98,7 +98,7 @@
 	}
 	group.Wait()
 	for _, r := range l.runners {
-		r.setPace(400*time.Millisecond, 40*time.Millisecond)
+		r.setPace(800*time.Millisecond, 40*time.Millisecond)
 	}
 	for i := range streams {
 		group.Go(func() {
@@ -109,7 +109,7 @@
 		})
 	}
 	if l.trouble {
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(300 * time.Millisecond)
 		killed := l.busiest("again")
 		l.signal(sides[killed], syscall.SIGKILL)
 		time.Sleep(time.Second)
