Resume a stream after the last event that its caller has

Cause: passEvents stored the id of an event as the caller's last one when it checked the order, before beginStream and before the write. Where the engine's software was no longer certain the event was thrown away, and the next attempt sent its id as Last-Event-Id.

Evidence: the attempt lines of these requests have events=0 and the cause "upstream runs other software than the stream began with"; the following engine ran the request after event 6, the caller had 5. The position was in no log line; attempt has it now as last_event.

Change: streamPosition owns the position and moves on after the write alone; headers of further attempts and logs take it from there. Two more paths of the same kind: the end of a stream is checked like its first event, since an attempt at other software that brought no event ended a cut stream as complete; and after data without an id a stream is not continued, since the next engine would repeat it.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -79,9 +79,8 @@
 	stalled, writeFailed bool
 	// first is the time from the start of the call to its first event.
 	first time.Duration
-	// lastEvent is the id of the last event sent to the caller, lastPassed the time at which it was
-	// sent.
-	lastEvent  string
+	// position is the last event that the caller has, lastPassed the time at which this call sent it.
+	position   streamPosition
 	lastPassed time.Time
 	// longestPause is the longest pause between two events.
 	longestPause time.Duration
--- a/gateway/callerrequest.go
+++ b/gateway/callerrequest.go
@@ -154,7 +154,7 @@
 	c.promptPrefixes = promptcache.PromptPrefixes(c.key, c.request.Header.Get(names.Prompt))
 	c.version = c.minVersion()
 	c.tokens = c.readTokens(c.request.Header.Get(names.Tokens))
-	c.lastEvent = c.request.Header.Get(names.LastEvent)
+	c.position.lastEvent = c.request.Header.Get(names.LastEvent)
 }
 
 // minVersion returns the oldest version of the adapter that may run now.
@@ -214,8 +214,8 @@
 	if version > 0 {
 		h.Set(names.ExpectVersion, strconv.FormatUint(uint64(version), 10))
 	}
-	if c.lastEvent != "" {
-		h.Set(names.LastEvent, c.lastEvent)
+	if c.position.lastEvent != "" {
+		h.Set(names.LastEvent, c.position.lastEvent)
 	}
 	if c.workspace != nil {
 		h.Set(names.Workspace, string(c.workspace.ID))
--- a/gateway/calllog.go
+++ b/gateway/calllog.go
@@ -23,6 +23,9 @@
 	if c.digest != nil {
 		attrs = append(attrs, slog.String("fingerprint", c.digest.String()))
 	}
+	if c.position.lastEvent != "" {
+		attrs = append(attrs, slog.String("last_event", clip(c.position.lastEvent)))
+	}
 	if id == c.lastUpstream {
 		attrs = append(attrs, slog.String("software", string(c.lastSoftware)))
 		attrs = append(attrs, noticeAttributes(&c.notice)...)
@@ -54,7 +57,7 @@
 		slog.String("request", c.id), slog.Int("status", status), slog.Int64("took_ms", took.Milliseconds()),
 		slog.Int("sent", c.sent), slog.Int("ran", c.ran), slog.String("upstream", string(c.lastUpstream)),
 	}
-	if c.lastEvent != "" && (why != "" || c.sent > 1 || c.resumed()) {
+	if c.position.lastEvent != "" && (why != "" || c.sent > 1 || c.resumed()) {
 		attrs = append(attrs, slog.String("software", string(c.lastSoftware)))
 	}
 	attrs = append(attrs, c.resumeAttributes()...)
--- a/gateway/passresponse.go
+++ b/gateway/passresponse.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -49,6 +48,12 @@
 	for {
 		event, err := a.Event()
 		if err == io.EOF && c.committed {
+			if !begun {
+				// Other software may make fewer events.
+				if err := c.beginStream(e.instance); err != nil {
+					return c.failAttempt(ctx, resultBroken, err)
+				}
+			}
 			c.phase = phaseResponded
 			c.ran++
 			c.recordResponse(a)
@@ -59,7 +64,7 @@
 			return c.failAttempt(ctx, resultBroken, err)
 		}
 		c.recordProgress(e, p)
-		if !c.follows(event) {
+		if !c.position.isNext(event) {
 			return c.failAttempt(ctx, resultBroken, errEventOutOfOrder)
 		}
 		if !begun {
@@ -74,6 +79,7 @@
 		if err := c.passEvent(control, event); err != nil {
 			return c.failAttempt(ctx, resultBroken, err)
 		}
+		c.position.advance(event)
 		c.recordEvent(time.Now())
 	}
 }
@@ -139,19 +145,3 @@
 	c.gateway.metrics.firstEvent(c, c.first)
 	c.gateway.startTimes.observe(c.route.Name, boottime.Since(c.sentAt))
 }
-
-// follows reports whether an event continues the stream, and stores its id. Events pass without a
-// check if they have no id or one that is not a number.
-func (c *call) follows(event []byte) bool {
-	id := forward.EventID(event)
-	if id == "" {
-		return true
-	}
-	next, err := strconv.ParseInt(id, 10, 64)
-	last, lastErr := strconv.ParseInt(c.lastEvent, 10, 64)
-	if err == nil && lastErr == nil && next != last+1 {
-		return false
-	}
-	c.lastEvent = id
-	return true
-}
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -203,7 +203,7 @@
 		c.gateway.metrics.attemptFailed(c.service.ID, c.cause)
 		c.logAttempt(e.instance.ID, result.String(), c.cause.Error(), e)
 	}
-	next, mayHaveRun, endReason := afterAttempt(result, c.committed, c.route.Retryable())
+	next, mayHaveRun, endReason := afterAttempt(result, c.committed, c.route.Retryable() && !c.position.unnumbered)
 	if mayHaveRun {
 		c.ran++
 	}
--- a/gateway/streamorigin.go
+++ b/gateway/streamorigin.go
@@ -34,7 +34,7 @@
 // process knows, or the stream may not go on under this route, it responds to the caller and returns
 // false.
 func (c *call) findOrigin(ctx context.Context) bool {
-	if c.lastEvent == "" || c.route.Kind != route.KindStream {
+	if c.position.lastEvent == "" || c.route.Kind != route.KindStream {
 		return true
 	}
 	c.resumes = sandbarrow.RequestID(c.request.Header.Get(c.gateway.config.Headers.Resumes))
@@ -87,7 +87,8 @@
 	return c.origin == nil || c.origin.Allows(in.Service, c.gateway.runningSoftwareNow(in))
 }
 
-// beginStream records where the stream began, right before its first event of an attempt is passed on.
+// beginStream records where the stream began, right before its first event of an attempt is passed on,
+// or its end where an attempt brings no further event.
 // It returns an error if the stream has begun with other software than the upstream runs.
 func (c *call) beginStream(in *sandbarrow.Instance) error {
 	running := c.gateway.runningSoftwareNow(in)
@@ -103,7 +104,7 @@
 	}
 	if c.resumes != "" {
 		c.recordOrigin(c.resumes) // a keeper may have been lost since
-	} else if c.lastEvent != "" {
+	} else if c.position.lastEvent != "" {
 		c.gateway.softwareRecords.record(*c.origin, c.recordLifetime())
 	}
 	return nil
