Supersede a gateway's silent link by its next one

Cause: a controller learnt of a link's end by its connection's end alone. The unpins went into the silent connection, and the pins that a gateway reports on its new link were counted beside the old ones.

Change: a link's first message names the gateway's process, the connection's number and all of its pins. The higher number ends the other links of that process at once; pins that the gateway still has pass on, the others are released. Messages of an ended link change nothing, and a first message that comes late ends its own link. A pin granted on the old connection while the new one opened is reported on the new one. Former builds name no process.

--- a/controller/acquire.go
+++ b/controller/acquire.go
@@ -44,7 +44,7 @@
 	c := l.controller
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if a.canceled {
+	if a.canceled || l.closed {
 		return nil, enginelink.Grant{Refused: enginelink.RefuseCanceled}
 	}
 	if refusal, refused := c.refuseAtOnce(q); refused {
@@ -183,7 +183,7 @@
 	c := l.controller
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if l.pins[q.ID] != nil {
+	if l.closed || l.pins[q.ID] != nil {
 		return
 	}
 	if p := c.detachedPins[q.ID]; p != nil {
@@ -203,6 +203,9 @@
 	c := l.controller
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if l.closed {
+		return // its pins belong to a newer link
+	}
 	now := c.now()
 	p := l.pins[id]
 	if p == nil {
--- a/controller/gatewaylink.go
+++ b/controller/gatewaylink.go
@@ -23,10 +23,16 @@
 // link is the connection of one gateway. It implements the protocol and owns the pins of
 // the gateway's requests.
 type link struct {
+	// cancel ends ctx, and with it the link.
+	cancel context.CancelFunc
 	// closed reports that the link's pins were detached; guarded by the controller's mu.
 	closed     bool
 	controller *Controller
 	ctx        context.Context
+	// incarnation and number are those of the gateway's Hello; guarded by the controller's mu. A former
+	// build names no incarnation.
+	incarnation sandbarrow.Incarnation
+	number      uint64
 	// limitsDue signals that the upstreams' limits have changed.
 	limitsDue chan struct{}
 	statusDue chan struct{}
@@ -54,7 +60,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	l := &link{
-		calls: map[sandbarrow.RequestID]*acquireCall{}, controller: c, ctx: ctx, limitsDue: make(chan struct{}, 1), statusDue: make(chan struct{}, 1), relayQueue: make(chan json.RawMessage, maxRelayed),
+		calls: map[sandbarrow.RequestID]*acquireCall{}, cancel: cancel, controller: c, ctx: ctx, limitsDue: make(chan struct{}, 1), statusDue: make(chan struct{}, 1), relayQueue: make(chan json.RawMessage, maxRelayed),
 		pins: map[sandbarrow.RequestID]*pin{}, stream: wire.NewStreamSize(conn, enginelink.ReadBufferBytes),
 	}
 	// The handler waits until l.rpc is set, because NewConn starts reading before it
@@ -85,13 +91,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.links, l)
-	l.closed = true
-	for id, p := range l.pins {
-		c.detachPin(id, p)
-	}
-	c.published.markChanged()
-	c.wakeEngineLoop()
+	c.closeLink(l)
 }
 
 // handle processes one message of the gateway.
@@ -202,6 +202,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.supersedeLinks(l, h)
 	l.acceptsChanges = h.Changes
 	c.slots.curve.adopt(h.EventTimes)
 	c.slots.prefills.speed.Adopt(h.Speed)
--- a/controller/metrics.go
+++ b/controller/metrics.go
@@ -15,6 +15,7 @@
 	eventBase       prometheus.Gauge
 	eventPerRunning prometheus.Gauge
 	holds           *prometheus.CounterVec
+	linkEnds        *prometheus.CounterVec
 	responseBase    prometheus.Gauge
 	demandWrites    *prometheus.CounterVec
 	loadClaims      *prometheus.CounterVec
@@ -39,6 +40,9 @@
 		holds: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sandbarrow_controller_prompt_holds_total", Help: "Prompts that had to wait for the engine's streams, slots or memory, by reason.",
 		}, []string{"reason"}),
+		linkEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sandbarrow_controller_link_ends_total", Help: "Links of gateways that the controller has closed, by reason.",
+		}, []string{"reason"}),
 		responseBase: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "sandbarrow_controller_answer_base_seconds", Help: "Estimated time to an answer's first event beside reading the prompt.",
 		}),
@@ -74,7 +78,7 @@
 			Name: "sandbarrow_controller_waiting_tokens", Help: "Prompt tokens that the engine has yet to read.",
 		}),
 	}
-	r.MustRegister(m.eventBase, m.eventPerRunning, m.holds, m.responseBase, m.demandWrites, m.preloads, m.loadClaims, m.loads, m.modelVersion, m.orders, m.prefillPerToken, m.prefillWindow, m.refusals, m.tokensWaiting)
+	r.MustRegister(m.eventBase, m.eventPerRunning, m.holds, m.linkEnds, m.responseBase, m.demandWrites, m.preloads, m.loadClaims, m.loads, m.modelVersion, m.orders, m.prefillPerToken, m.prefillWindow, m.refusals, m.tokensWaiting)
 	return m
 }
 
--- a/enginelink/messages.go
+++ b/enginelink/messages.go
@@ -130,6 +130,12 @@
 	// EventTimes is the last curve of the engine's event times that the gateway received, or
 	// that of other engines. It is zero if the gateway has received none.
 	EventTimes engineload.Curve `json:"event_times,omitzero"`
+	// Incarnation identifies the process of the gateway.
+	Incarnation sandbarrow.Incarnation `json:"incarnation,omitempty"`
+	// Link numbers the connections of that process to the controller. One with a higher number supersedes the others.
+	Link uint64 `json:"link,omitempty"`
+	// Pins are the requests of all pins that the gateway has. A MethodPinned follows for each.
+	Pins []sandbarrow.RequestID `json:"pins,omitempty"`
 	// Speed is the last estimate of the engine's prefill speed that the gateway received, or
 	// that of other engines. It is zero if the gateway has received none.
 	Speed readspeed.Speed `json:"speed"`
--- a/gateway/controllerlink.go
+++ b/gateway/controllerlink.go
@@ -82,6 +82,7 @@
 		hello.EventTimes = typicalEvents
 	}
 	pins := slices.Collect(maps.Values(l.pins))
+	hello.Incarnation, hello.Link, hello.Pins = l.gateway.incarnation, l.gateway.linkCount.Add(1), slices.Collect(maps.Keys(l.pins))
 	l.mu.Unlock()
 	close(ready)
 	if rpc.Notify(ctx, enginelink.MethodHello, hello) != nil {
@@ -218,10 +219,19 @@
 	}
 	if err == nil && g.Refused == "" {
 		l.addPin(q)
+		l.reportLatePin(ctx, rpc, q)
 	}
 	return g, err == nil
 }
 
+// reportLatePin reports a pin that was granted on a connection which a newer one has superseded. That
+// one may have reported the pins before this one was among them.
+func (l *controllerLink) reportLatePin(ctx context.Context, granted *jsonrpc2.Conn, q *enginelink.Acquire) {
+	if rpc := l.connection(); rpc != nil && rpc != granted {
+		_ = rpc.Notify(context.WithoutCancel(ctx), enginelink.MethodPinned, q)
+	}
+}
+
 // report reports the progress of a pinned request to the controller. MethodUnpin releases its pin.
 func (l *controllerLink) report(method string, id sandbarrow.RequestID) {
 	l.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
@@ -132,15 +133,18 @@
 	directory     *directory.Directory
 	distances     *distance.Table
 	exits         *exitDetector
-	engines       *engines
-	estate        *estate.Estate
-	leaders       *quotaLeaders
-	listReply     *encodedList
-	loads         *loadClaims
-	loadTimes     *loadtime.Estimator
-	logger        *slog.Logger
-	memory        *heldbytes.Budget
-	metrics       *metrics
+	// incarnation identifies this process to the controllers, linkCount numbers its connections to them.
+	incarnation sandbarrow.Incarnation
+	linkCount   atomic.Uint64
+	engines     *engines
+	estate      *estate.Estate
+	leaders     *quotaLeaders
+	listReply   *encodedList
+	loads       *loadClaims
+	loadTimes   *loadtime.Estimator
+	logger      *slog.Logger
+	memory      *heldbytes.Budget
+	metrics     *metrics
 	// origins records where streams began; ownOrigins keeps those of peers.
 	origins    *sendkeepers.Origins
 	ownOrigins enginelink.OriginKeeper
@@ -173,6 +177,7 @@
 		directory:   directory.New(c.Instances, c.Logger),
 		distances:   distance.NewTable(),
 		estate:      estate.New(c.Documents, c.Logger),
+		incarnation: sandbarrow.Incarnation(uuid.NewString()),
 		loadTimes:   loadtime.NewEstimator(),
 		logger:      c.Logger,
 		memory:      newMemoryBudget(&c),
--- a/ids.go
+++ b/ids.go
@@ -35,7 +35,7 @@
 // FencingToken orders the holders of one lease; a higher token is newer.
 type FencingToken uint64
 
-// Incarnation identifies one run of an agent process.
+// Incarnation identifies one run of a process.
 type Incarnation string
 
 // PolicyID identifies a policy set by the operators.
