Notice the silence of gateways by heartbeats

A gateway that is gone without a close kept its pins for as long as the kernel kept the connection.

Cause: controllers had no time-out of their own for a gateway, and gateways with nothing to send send nothing.

Change: a gateway that has sent nothing for a second sends a heartbeat. A controller ends a link after ten checks, a second apart, without a message. That is longer than a box may be frozen. The checks count instead of a clock, so a controller that was frozen itself first reads what has arrived. Former builds promise no heartbeats, and are not timed out.

With isSilent switched off TestLinkOfLostGatewayEnds fails.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -202,6 +202,7 @@
 	g.Go(func() error { return c.watch.Run(ctx) })
 	g.Go(func() error { return c.tokenLoop(ctx) })
 	g.Go(func() error { return c.engineLoop(ctx) })
+	g.Go(func() error { return c.linkLoop(ctx) })
 	g.Go(func() error { return c.publishLoop(ctx) })
 	if c.leader != nil {
 		g.Go(func() error { return c.leader.Run(ctx) })
--- a/controller/gatewaylink.go
+++ b/controller/gatewaylink.go
@@ -33,6 +33,8 @@
 	// build names no incarnation.
 	incarnation sandbarrow.Incarnation
 	number      uint64
+	// quiet counts the checks without a message of the gateway.
+	quiet wire.Quiet
 	// limitsDue signals that the upstreams' limits have changed.
 	limitsDue chan struct{}
 	statusDue chan struct{}
@@ -63,6 +65,7 @@
 		calls: map[sandbarrow.RequestID]*acquireCall{}, cancel: cancel, controller: c, ctx: ctx, limitsDue: make(chan struct{}, 1), statusDue: make(chan struct{}, 1), relayQueue: make(chan json.RawMessage, maxRelayed),
 		pins: map[sandbarrow.RequestID]*pin{}, stream: wire.NewStreamSize(conn, enginelink.ReadBufferBytes),
 	}
+	l.stream.ServeDirectly(enginelink.MethodHeartbeat, func([]byte) error { return nil })
 	// The handler waits until l.rpc is set, because NewConn starts reading before it
 	// returns.
 	ready := make(chan struct{})
@@ -112,7 +115,7 @@
 		return nil, l.mergeCrashes(r, c.crashes)
 	case enginelink.MethodPartCrashes:
 		return nil, l.mergeCrashes(r, c.partCrashes)
-	case enginelink.MethodEcho:
+	case enginelink.MethodEcho, enginelink.MethodHeartbeat:
 		return nil, nil
 	case enginelink.MethodFetch:
 		return enginelink.ServeFetch(l.rpc, r, c.estate)
--- a/controller/linkend.go
+++ b/controller/linkend.go
@@ -1,6 +1,9 @@
 package controller
 
 import (
+	"context"
+	"time"
+
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/enginelink"
 )
@@ -9,11 +12,23 @@
 // go silent for good without being closed. Its pins would then keep their adapters loaded forever, and
 // its gateway would count twice once it has linked again.
 
+const (
+	// linkCheckInterval is the interval between two checks for silent links.
+	linkCheckInterval = time.Second
+	// maxQuietChecks is how many checks in a row may find no message of a gateway. A box may be frozen
+	// for some eight seconds, after a pause of up to 1.5 intervals of the heartbeats. What it runs must
+	// keep its adapters meanwhile.
+	maxQuietChecks = 10
+)
+
 // linkEnd is why a link was closed by the controller.
 type linkEnd string
 
-// linkSuperseded means that the gateway has opened a newer link.
-const linkSuperseded linkEnd = "superseded"
+// The reasons to close a link.
+const (
+	linkSilent     linkEnd = "silent"
+	linkSuperseded linkEnd = "superseded"
+)
 
 // closeLink removes a link and detaches its pins. It does nothing if the link was closed before. The
 // caller holds mu.
@@ -77,3 +92,34 @@
 	}
 	return released
 }
+
+// isSilent decides whether a gateway is gone, by the number of checks in a row without a message. A
+// gateway of a former build sends no heartbeats and may have nothing to send for any time.
+func (l *link) isSilent(quietChecks int) bool {
+	return l.incarnation != "" && quietChecks >= maxQuietChecks
+}
+
+// checkLinks ends the links of gateways that send nothing any more.
+func (c *Controller) checkLinks() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for l := range c.links {
+		if l.isSilent(l.quiet.Check(l.stream.Received())) {
+			c.endLink(l, linkSilent, 0)
+		}
+	}
+}
+
+// linkLoop checks the links until ctx is done.
+func (c *Controller) linkLoop(ctx context.Context) error {
+	ticker := time.NewTicker(linkCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			c.checkLinks()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
--- a/controller/linkend_test.go
+++ b/controller/linkend_test.go
@@ -126,3 +126,40 @@
 	roundTrip(t, newer)
 	assert.Equal(t, c.pinsOn("a"), 0)
 }
+
+// The pins of a gateway whose box was lost keep their adapters for a bounded time only.
+func TestLinkOfLostGatewayEnds(t *testing.T) {
+	c := newPinnedController(t)
+	lost := openNumberedLink(t, c, "p", 1)
+	acquirePin(t, lost, pinRequest("1", "a"))
+	c.checkLinks() // counts the messages so far
+	for range maxQuietChecks - 1 {
+		c.checkLinks()
+	}
+	assert.Equal(t, c.linkCount(), 1, "a box may be frozen for nearly as long")
+	c.checkLinks()
+	assert.Equal(t, c.linkCount(), 0)
+	eventually(t, func() bool { return c.pinsOn("a") == 0 })
+}
+
+func TestLinkWithHeartbeatsStays(t *testing.T) {
+	c := newPinnedController(t)
+	rpc := openNumberedLink(t, c, "p", 1)
+	for range 3 * maxQuietChecks {
+		assert.NilError(t, rpc.Notify(t.Context(), enginelink.MethodHeartbeat, struct{}{}))
+		roundTrip(t, rpc)
+		c.checkLinks()
+	}
+	assert.Equal(t, c.linkCount(), 1)
+}
+
+// A gateway of a former build sends no heartbeats.
+func TestQuietLinkOfFormerBuildStays(t *testing.T) {
+	c := newPinnedController(t)
+	acquirePin(t, openNumberedLink(t, c, "", 0), pinRequest("1", "a"))
+	for range 3 * maxQuietChecks {
+		c.checkLinks()
+	}
+	assert.Equal(t, c.linkCount(), 1)
+	assert.Equal(t, c.pinsOn("a"), 1)
+}
--- a/enginelink/messages.go
+++ b/enginelink/messages.go
@@ -36,6 +36,8 @@
 	MethodUnpin = "engine.done"
 	// MethodFetch fetches changes of the operators' state; a call.
 	MethodFetch = "estate.fetch"
+	// MethodHeartbeat says that a gateway is alive that has nothing else to send.
+	MethodHeartbeat = "link.alive"
 	// MethodHello opens a link.
 	MethodHello = "link.hello"
 	// MethodCachedPrompts reports which prompt prefixes an engine has cached.
@@ -75,6 +77,8 @@
 	// HeartbeatTimeout is the time without a status after which a controller counts as
 	// unreachable.
 	HeartbeatTimeout = 3 * HeartbeatInterval
+	// GatewayHeartbeatInterval is the time without other messages after which a gateway sends a heartbeat.
+	GatewayHeartbeatInterval = 2 * HeartbeatInterval
 	// ExtraLoadWait is how much longer than its normal wait a request stays with an engine that
 	// is already loading its adapter. It covers several loads under contention.
 	ExtraLoadWait = 2 * time.Second
@@ -130,7 +134,8 @@
 	// EventTimes is the last curve of the engine's event times that the gateway received, or
 	// that of other engines. It is zero if the gateway has received none.
 	EventTimes engineload.Curve `json:"event_times,omitzero"`
-	// Incarnation identifies the process of the gateway.
+	// Incarnation identifies the process of the gateway. A gateway that names it sends a message at least
+	// every GatewayHeartbeatInterval.
 	Incarnation sandbarrow.Incarnation `json:"incarnation,omitempty"`
 	// Link numbers the connections of that process to the controller. One with a higher number supersedes the others.
 	Link uint64 `json:"link,omitempty"`
--- a/gateway/controllerlinks_test.go
+++ b/gateway/controllerheartbeat_test.go
@@ -18,15 +18,19 @@
 
 // linkRecorder is the controller's end of a link. It sends statuses and records what the gateway sends.
 type linkRecorder struct {
-	mu    sync.Mutex
-	hello enginelink.Hello
+	mu         sync.Mutex
+	hello      enginelink.Hello
+	heartbeats int
 }
 
 func (r *linkRecorder) handle(_ context.Context, q *jsonrpc2.Request) (any, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if q.Method == enginelink.MethodHello {
+	switch q.Method {
+	case enginelink.MethodHello:
 		return nil, json.Unmarshal(*q.Params, &r.hello)
+	case enginelink.MethodHeartbeat:
+		r.heartbeats++
 	}
 	return nil, nil
 }
@@ -43,6 +47,20 @@
 	}()
 }
 
+// Without heartbeats a controller can't tell an idle gateway from one that is gone.
+func TestIdleGatewaySendsHeartbeats(t *testing.T) {
+	g := newChoosingGateway(t)
+	l := &controllerLink{address: "a", gateway: g}
+	var r linkRecorder
+	r.serve(t.Context(), l)
+	eventually(t, func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.heartbeats >= 2
+	})
+	assert.Assert(t, r.hello.Incarnation != "")
+}
+
 // A controller releases the pins of older links that a new one does not report.
 func TestNewLinkReportsAllPins(t *testing.T) {
 	g := newChoosingGateway(t)
@@ -64,3 +82,9 @@
 	assert.Equal(t, second.hello.Incarnation, first.hello.Incarnation)
 	assert.Assert(t, second.hello.Link > first.hello.Link)
 }
+
+func TestHeartbeatDueAfterQuietInterval(t *testing.T) {
+	assert.Assert(t, !heartbeatDue(0))
+	assert.Assert(t, !heartbeatDue(1))
+	assert.Assert(t, heartbeatDue(2))
+}
--- a/gateway/controllerlink.go
+++ b/gateway/controllerlink.go
@@ -95,6 +95,7 @@
 	}
 	go enginelink.PublishWatermarks(ctx, rpc, l.gateway.estate)
 	l.gateway.logger.Info("controller linked", "controller", l.address)
+	var quiet wire.Quiet
 	for {
 		select {
 		case <-rpc.DisconnectNotify():
@@ -108,9 +109,21 @@
 			l.markDown("silent")
 			return
 		}
+		if heartbeatDue(quiet.Check(stream.Sent())) {
+			go func() { _ = stream.Send(heartbeat) }() // a connection that has ended needs none
+		}
 	}
 }
 
+// heartbeat is a message to a controller that carries nothing.
+var heartbeat = wire.NewNotification(enginelink.MethodHeartbeat, json.RawMessage("{}"))
+
+// heartbeatDue decides whether to send a heartbeat, by the number of checks in a row between which
+// nothing was sent to the controller. They are enginelink.HeartbeatInterval apart.
+func heartbeatDue(quietChecks int) bool {
+	return quietChecks >= int(enginelink.GatewayHeartbeatInterval/enginelink.HeartbeatInterval)
+}
+
 // readStatus applies a status of the controller.
 func (l *controllerLink) readStatus(text []byte) error {
 	var s enginelink.Status
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/juju/errors"
 
@@ -41,6 +42,8 @@
 	conn   net.Conn
 	direct []directMethod
 	reader *bufio.Reader
+	// received and sent count the messages of which the length was read, or that were accepted to send.
+	received, sent atomic.Uint64
 
 	mu      sync.Mutex
 	changed *sync.Cond
@@ -69,6 +72,12 @@
 	return s.conn.Close()
 }
 
+// Received returns the number of messages that have arrived.
+func (s *Stream) Received() uint64 { return s.received.Load() }
+
+// Sent returns the number of messages that were accepted to send.
+func (s *Stream) Sent() uint64 { return s.sent.Load() }
+
 // ReadObject reads the next message that is not served directly into v.
 func (s *Stream) ReadObject(v any) error {
 	for {
@@ -92,6 +101,7 @@
 	if n == 0 || n > MaxMessageBytes {
 		return 0, errors.Annotatef(ErrMalformed, "length %d", n)
 	}
+	s.received.Add(1)
 	return int(n), nil
 }
 
@@ -133,6 +143,7 @@
 	}
 	s.pending = binary.BigEndian.AppendUint32(s.pending, uint32(len(body)))
 	s.pending = append(s.pending, body...)
+	s.sent.Add(1)
 	if !s.writing {
 		s.flush()
 	}
