Close connections of peers that are gone

A gateway closes its connections to peers when they are idle for ten seconds. One whose box is lost, or whose connection goes silent, closes nothing at the other end: the connection, its two goroutines and one of 2,048 places stayed for as long as the process. The serving side now closes a connection on which nothing arrived for thirty seconds, by checks as on the links of controllers.

Without the change TestConnectionOfLostPeerIsClosed fails (still open).

--- a/gateway/peerconnections_test.go
+++ b/gateway/peerconnections_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"runtime"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -35,3 +36,19 @@
 	eventually(t, func() bool { return runtime.NumGoroutine() <= goroutines+20 })
 	eventually(t, func() bool { return memory() < before+2<<20 })
 }
+
+// The connection of a peer whose box was lost would otherwise stay open for good.
+func TestConnectionOfLostPeerIsClosed(t *testing.T) {
+	g := newLoneGateway()
+	g.peerCheckInterval = 10 * time.Millisecond
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = g.ServePeers(t.Context(), l) }()
+	rpc, err := enginelink.DialPeer(t.Context(), l.Addr().String(), forward.DialTimeout)
+	assert.NilError(t, err)
+	select {
+	case <-rpc.DisconnectNotify():
+	case <-time.After(5 * time.Second):
+		t.Fatal("the connection is still open")
+	}
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -31,6 +31,11 @@
 	peerStagger = 150 * time.Millisecond
 	// peerTimeout bounds the calls to one peer.
 	peerTimeout = 800 * time.Millisecond
+	// A connection of a peer is closed after maxQuietPeerChecks checks without a message, peerCheckInterval
+	// apart. Peers close theirs when idle for a third of that, so that one which stays is of a peer that
+	// is gone.
+	peerCheckInterval  = 3 * time.Second
+	maxQuietPeerChecks = 10
 )
 
 // methodInstances is the JSON-RPC method that reads a peer's list of upstreams.
@@ -42,9 +47,13 @@
 }
 
 func (g *Gateway) servePeer(ctx context.Context, conn net.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	ready := make(chan struct{})
+	stream := wire.NewStream(conn)
+	go stream.CloseWhenQuiet(ctx, g.peerCheckInterval, maxQuietPeerChecks)
 	var rpc *jsonrpc2.Conn
-	rpc = jsonrpc2.NewConn(ctx, wire.NewStream(conn), wire.Handler(func(_ context.Context, r *jsonrpc2.Request) (any, error) {
+	rpc = jsonrpc2.NewConn(ctx, stream, wire.Handler(func(_ context.Context, r *jsonrpc2.Request) (any, error) {
 		<-ready
 		switch r.Method {
 		case enginelink.MethodFetch:
--- a/wire/quiet_test.go
+++ b/wire/quiet_test.go
@@ -1,7 +1,9 @@
 package wire
 
 import (
+	"net"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -15,3 +17,25 @@
 		assert.Equal(t, q.Check(tc.messages), tc.want, "check %d", i)
 	}
 }
+
+func TestQuietStreamIsClosed(t *testing.T) {
+	near, far := net.Pipe()
+	stream, peer := NewStream(near), NewStream(far)
+	go func() {
+		for range 3 {
+			_ = peer.WriteObject(map[string]int{})
+			time.Sleep(30 * time.Millisecond)
+		}
+	}()
+	closed := make(chan bool, 1)
+	began := time.Now()
+	go func() { closed <- stream.CloseWhenQuiet(t.Context(), 20*time.Millisecond, 3) }()
+	for {
+		var message map[string]int
+		if err := stream.ReadObject(&message); err != nil {
+			break
+		}
+	}
+	assert.Assert(t, <-closed)
+	assert.Assert(t, time.Since(began) >= 100*time.Millisecond)
+}
