Refuse a request whose body does not arrive by its deadline

A caller whose body stops arriving, as one whose box is gone, held its request, its connection and the bytes that were read for good: the route's time-out began with the first send, and nothing bounded the reads before. Such a request now gets 408 at its deadline, which is the route's timeout or the caller's own if that is earlier, and its connection ends. It has not been sent to an upstream, so 408 is true.

--- a/explain/timeline.go
+++ b/explain/timeline.go
@@ -123,6 +123,7 @@
 var causes = map[string]string{
 	"":                    "served, or failed with the upstream's own error response",
 	"bad-request":         "the request itself was malformed",
+	"body-stalled":        "the request's body did not arrive by its deadline",
 	"broken":              "an upstream broke off its response, and the request could not be retried on another",
 	"caller-left":         "the caller disconnected before its response was complete",
 	"caller-stalled":      "the caller read nothing of its response for too long and was disconnected",
--- a/gateway/callend.go
+++ b/gateway/callend.go
@@ -25,8 +25,10 @@
 // The reasons for the end of a call.
 const (
 	reasonBadRequest reason = "bad-request"
-	reasonBroken     reason = "broken"
-	reasonBudget     reason = "retry-budget"
+	// reasonBodyStalled is a request whose body did not arrive by its deadline.
+	reasonBodyStalled reason = "body-stalled"
+	reasonBroken      reason = "broken"
+	reasonBudget      reason = "retry-budget"
 	// reasonContended is a request that no contended upstream could end in the time left.
 	reasonContended reason = "upstreams-contended"
 	reasonDeadline  reason = "deadline"
--- a/gateway/callerrequest.go
+++ b/gateway/callerrequest.go
@@ -4,6 +4,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -79,6 +80,7 @@
 // prepare reads and checks the request. If the request is invalid, it responds to the caller and
 // returns false.
 func (c *call) prepare() bool {
+	deadlineValid := c.readDeadline()
 	if !c.readBody() {
 		return false
 	}
@@ -91,7 +93,7 @@
 		c.refuse(http.StatusBadRequest, reasonBadRequest)
 		return false
 	}
-	if !c.readDeadline() {
+	if !deadlineValid {
 		c.refuse(http.StatusBadRequest, reasonBadRequest)
 		return false
 	}
@@ -101,11 +103,12 @@
 	return true
 }
 
-// readBody reads the complete body within the operators' limit. On an error it responds to the
-// caller and returns false.
+// readBody reads the complete body within the operators' limit and the call's deadline. On an error it
+// responds to the caller and returns false.
 func (c *call) readBody() bool {
 	if c.request.Body != nil && c.request.Body != http.NoBody {
 		c.request.Body = &countedBody{ReadCloser: c.request.Body, memory: &c.memory}
+		c.limitBodyTime(time.Now().Add(c.timeLeft()))
 	}
 	body, err := readBody(c.request, c.writer, c.view.Table.Limits.MaxBodyBytes)
 	var tooLarge *http.MaxBytesError
@@ -116,14 +119,26 @@
 	case errors.As(err, &tooLarge):
 		c.refuse(http.StatusRequestEntityTooLarge, reasonTooLarge)
 		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.refuse(http.StatusRequestTimeout, reasonBodyStalled)
+		return false
 	case err != nil:
 		c.refuse(http.StatusBadRequest, reasonBadRequest)
 		return false
 	}
+	c.limitBodyTime(time.Time{})
 	c.body = body
 	return true
 }
 
+// limitBodyTime makes reads of the body fail from a time on; the zero time lifts the limit. After an error
+// it stays, since the server reads the rest of a body before it responds.
+func (c *call) limitBodyTime(end time.Time) {
+	if c.request.Body != nil && c.request.Body != http.NoBody {
+		_ = http.NewResponseController(c.writer).SetReadDeadline(end) // fails only if the connection is closed
+	}
+}
+
 // readDeadline sets the deadline of the call. This is the end of the route's timeout, or the
 // caller's deadline if that is earlier. It returns false for a malformed deadline.
 func (c *call) readDeadline() bool {
