Close idle connections to an upstream after one went silent

Open connections to an upstream may go silent while new ones work. Each idle one in the pool then cost one more request, which waited until its time was over: the pool closed the connection that had timed out and kept the rest. Now a time-out before the first byte of a response, on a connection that was kept, also closes the connections that were idle when the request was sent. Those used since are sound and stay, and a caller who leaves shows nothing.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -80,6 +81,7 @@
 		_ = c.Close()
 		return nil, errors.Annotate(ErrNotSent, "AllowSend returned false")
 	}
+	began := time.Now()
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	if r.Watch != nil {
 		r.Watch(func() bool { return socket.Look(c.Conn) == socket.Bytes })
@@ -90,12 +92,27 @@
 		return nil, broken(err)
 	}
 	if err := rs.readHeader(r); err != nil {
+		if c.isSilent(ctx, err) {
+			p.closeUnusedSince(began)
+		}
 		rs.Close()
 		return nil, broken(err)
 	}
 	return rs, nil
 }
 
+// isSilent decides whether a connection that was idle before may have gone silent, by the error of reading
+// a response: none of it arrived before the time for it was over, or before the kernel gave up. The
+// connections that were idle at the same time may then be silent too. An end of ctx for another reason, as
+// where the caller has left, shows nothing.
+func (c *conn) isSilent(ctx context.Context, err error) bool {
+	if c.lastUsed.IsZero() || c.bytes.bytes > 0 {
+		return false
+	}
+	cause := context.Cause(ctx)
+	return errors.Is(err, syscall.ETIMEDOUT) || cause != nil && !errors.Is(cause, context.Canceled)
+}
+
 // hold counts bytes that are to be held.
 func (rs *UpstreamResponse) hold(bytes int) error {
 	if rs.counter == nil {
--- a/forward/exchange_test.go
+++ b/forward/exchange_test.go
@@ -317,3 +317,60 @@
 	defer mu.Unlock()
 	assert.Equal(t, received, 1)
 }
+
+// After a time-out on a kept connection the other idle ones must not cost a request each.
+func TestIdleConnectionsAreClosedAfterSilentOne(t *testing.T) {
+	var silent sync.Map
+	dials := 0
+	var mu sync.Mutex
+	release := make(chan struct{})
+	p := scriptedUpstream(t, func(c net.Conn, id string, turn int) {
+		mu.Lock()
+		if turn == 0 {
+			dials++
+		}
+		mu.Unlock()
+		if _, gone := silent.Load(c.RemoteAddr().String()); gone {
+			<-release
+			return
+		}
+		if id == "1" {
+			<-release // so that the requests use a connection each
+		}
+		write(c, completeResponse(id, "hello"))
+	})
+	const connections = 4
+	var group sync.WaitGroup
+	for range connections {
+		group.Go(func() {
+			resp, err := p.Send(t.Context(), request("1"))
+			assert.Check(t, err)
+			_, err = resp.Body(100)
+			assert.Check(t, err)
+			resp.Close()
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	close(release)
+	group.Wait()
+	release = make(chan struct{})
+	defer close(release)
+	assert.Equal(t, len(p.idle), connections)
+	for _, c := range p.idle {
+		silent.Store(c.LocalAddr().String(), true)
+	}
+	left, leave := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, leave)
+	_, err := p.Send(left, request("2"))
+	assert.Assert(t, errors.Is(err, ErrBroken))
+	assert.Equal(t, len(p.idle), connections-1, "a caller who leaves shows nothing")
+	timed, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err = p.Send(timed, request("3"))
+	assert.Assert(t, errors.Is(err, ErrBroken))
+	assert.Equal(t, len(p.idle), 0)
+	resp, err := p.Send(t.Context(), request("4"))
+	assert.NilError(t, err)
+	resp.Close()
+	assert.Equal(t, dials, connections+1)
+}
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -9,6 +9,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -52,7 +53,9 @@
 	// bytes reads from Conn, and reader from bytes.
 	bytes   *responseReader
 	expires time.Time
-	reader  *bufio.Reader
+	// lastUsed is when the last response was complete; zero before the first.
+	lastUsed time.Time
+	reader   *bufio.Reader
 }
 
 // Pool holds the connections to one upstream.
@@ -110,7 +113,8 @@
 	if idle <= 0 {
 		idle = defaultIdleTimeout
 	}
-	c.expires = time.Now().Add(idle - idleMargin)
+	c.lastUsed = time.Now()
+	c.expires = c.lastUsed.Add(idle - idleMargin)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -120,6 +124,19 @@
 	p.idle = append(p.idle, c)
 }
 
+// closeUnusedSince closes the idle connections that have carried no complete response since a time.
+func (p *Pool) closeUnusedSince(t time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		if c.lastUsed.After(t) {
+			return false
+		}
+		_ = c.Close()
+		return true
+	})
+}
+
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
 	d := net.Dialer{Timeout: DialTimeout, Control: setUnackedTimeout, KeepAlive: -1}
 	c, err := d.DialContext(ctx, "tcp", p.address)
