--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -202,7 +202,14 @@
 	g.plainPermits = newPlainPermits(g)
 	g.software, g.softwareRecords = newSoftwareHistory(g), newSoftwareRecords(g)
 	g.upstreams = &upstreams{gateway: g, waiting: map[sandbarrow.InstanceID]*waits{}}
-	c.Metrics.MustRegister(
+	g.listReply = &encodedList{directory: g.directory}
+	g.registerMetrics()
+	return g
+}
+
+// registerMetrics registers the metrics that are read from the gateway's state.
+func (g *Gateway) registerMetrics() {
+	g.config.Metrics.MustRegister(
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "sandbarrow_gateway_saved_retries", Help: "Retries that are saved up for the service with the fewest; -1 before the first request.",
 		}, g.savedRetries),
@@ -231,8 +238,6 @@
 			Name: "sandbarrow_gateway_configuration_confirmed_seconds", Help: "Time since the configuration in force was known to be the newest; -1 where it never was.",
 		}, g.confirmedSeconds),
 	)
-	g.listReply = &encodedList{directory: g.directory}
-	return g
 }
 
 // Ready reports whether the load balancer may send new connections.
--- a/gateway/passresponse.go
+++ b/gateway/passresponse.go
@@ -44,46 +44,56 @@
 // engine can resume after the last one.
 func (c *call) passEvents(ctx context.Context, a *forward.UpstreamResponse, e *candidate, p *progress) attemptResult {
 	control := http.NewResponseController(c.writer)
-	begun := false
-	for {
+	for begun := false; ; begun = true {
 		event, err := a.Event()
-		if err == io.EOF && c.committed {
-			if !begun {
-				// Other software may make fewer events.
-				if err := c.beginStream(e.instance); err != nil {
-					return c.failAttempt(ctx, resultBroken, err)
-				}
-			}
-			c.phase = phaseResponded
-			c.ran++
-			c.recordResponse(a)
-			c.finish(a.Status, "")
-			return resultAnswered
-		}
-		if err != nil {
+		complete := err == io.EOF && c.committed
+		switch {
+		case complete:
+		case err != nil:
 			return c.failAttempt(ctx, resultBroken, err)
-		}
-		c.recordProgress(e, p)
-		if !c.position.isNext(event) {
-			return c.failAttempt(ctx, resultBroken, errEventOutOfOrder)
+		default:
+			c.recordProgress(e, p)
+			if !c.position.isNext(event) {
+				return c.failAttempt(ctx, resultBroken, errEventOutOfOrder)
+			}
 		}
 		if !begun {
+			// This holds for the end too, since other software may make fewer events.
 			if err := c.beginStream(e.instance); err != nil {
 				return c.failAttempt(ctx, resultBroken, err)
 			}
-			begun = true
 		}
-		if !c.committed {
-			c.commit(a)
+		if complete {
+			return c.completeStream(a)
 		}
-		if err := c.passEvent(control, event); err != nil {
+		if err := c.passNext(control, a, event); err != nil {
 			return c.failAttempt(ctx, resultBroken, err)
 		}
-		c.position.advance(event)
-		c.recordEvent(time.Now())
 	}
 }
 
+// passNext passes on the next event, after the header if it is the first one.
+func (c *call) passNext(control *http.ResponseController, a *forward.UpstreamResponse, event []byte) error {
+	if !c.committed {
+		c.commit(a)
+	}
+	if err := c.passEvent(control, event); err != nil {
+		return err
+	}
+	c.position.advance(event)
+	c.recordEvent(time.Now())
+	return nil
+}
+
+// completeStream ends a stream that its caller has received to the end.
+func (c *call) completeStream(a *forward.UpstreamResponse) attemptResult {
+	c.phase = phaseResponded
+	c.ran++
+	c.recordResponse(a)
+	c.finish(a.Status, "")
+	return resultAnswered
+}
+
 // recordProgress records that an attempt has made progress, and makes the reports that follow from
 // it.
 func (c *call) recordProgress(e *candidate, p *progress) {
