Tell a reset from the end of a response without a length

Cause: the kernel reports a reset once. The goroutine that wrote the upload got it, and the reader then got an ordinary end of file. A look at the receive buffer takes the error in the same way, without any upload.

After a reset the socket is closed, after an orderly end half closed by the server; a reset after the server's end is EPIPE, not ECONNRESET.

Change: connections of the new package internal/response ask for the state at their end and keep the first error that a write or a look got. All clients use them: gateways, agents, stores, list, the operators' report.

--- a/boxlist/httplist.go
+++ b/boxlist/httplist.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"net"
 	"net/http"
 	"time"
 
@@ -13,6 +14,7 @@
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/internal/httpcall"
 	"sandbarrow.example/sandbarrow/internal/refusallog"
+	"sandbarrow.example/sandbarrow/internal/response"
 )
 
 const (
@@ -33,7 +35,7 @@
 
 // NewHTTP returns a reader of the list at a URL.
 func NewHTTP(url string, logger *slog.Logger) *HTTP {
-	return &HTTP{refusals: refusallog.New(logger), client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: httpcall.MaxHeaderBytes}}, url: url}
+	return &HTTP{refusals: refusallog.New(logger), client: &http.Client{Timeout: callTimeout, Transport: response.NewTransport(&http.Transport{MaxResponseHeaderBytes: httpcall.MaxHeaderBytes}, &net.Dialer{})}, url: url}
 }
 
 // Boxes reads the list. A row that describes no box, which another writer may have left there, is left out.
--- a/burn/report.go
+++ b/burn/report.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -15,6 +16,7 @@
 	"github.com/prometheus/common/model"
 
 	"sandbarrow.example/sandbarrow"
+	"sandbarrow.example/sandbarrow/internal/response"
 )
 
 const (
@@ -55,7 +57,7 @@
 // can't be read are listed in it. Scrape fails if none can be read.
 func Scrape(ctx context.Context, boxes []string) (*Report, error) {
 	r := newReporter()
-	client := &http.Client{Timeout: scrapeTimeout}
+	client := &http.Client{Timeout: scrapeTimeout, Transport: response.NewTransport(&http.Transport{}, &net.Dialer{})}
 	report := &Report{Boxes: boxes, Made: time.Now().UTC()}
 	for _, box := range boxes {
 		if err := r.scrape(ctx, client, box); err != nil {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -84,7 +84,7 @@
 	began := time.Now()
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	if r.Watch != nil {
-		r.Watch(func() bool { return socket.Look(c.Conn) == socket.Bytes })
+		r.Watch(func() bool { return c.Look() == socket.Bytes })
 	}
 	rs := &UpstreamResponse{conn: c, counter: r.Hold, pool: p, stopCancel: stop}
 	if err := rs.write(r); err != nil {
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -17,6 +17,7 @@
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
 
+	"sandbarrow.example/sandbarrow/internal/response"
 	"sandbarrow.example/sandbarrow/internal/socket"
 )
 
@@ -49,7 +50,7 @@
 
 // conn is one connection to an upstream.
 type conn struct {
-	net.Conn
+	*response.Conn
 	// bytes reads from Conn, and reader from bytes.
 	bytes   *responseReader
 	expires time.Time
@@ -147,8 +148,9 @@
 		}
 		return nil, notSent
 	}
-	bytes := newResponseReader(c)
-	return &conn{Conn: c, bytes: bytes, reader: bufio.NewReaderSize(bytes, readBufferBytes)}, nil
+	wrapped := response.NewConn(c)
+	bytes := newResponseReader(wrapped)
+	return &conn{Conn: wrapped, bytes: bytes, reader: bufio.NewReaderSize(bytes, readBufferBytes)}, nil
 }
 
 func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
@@ -168,5 +170,5 @@
 // usable reports whether an idle connection is open and has no bytes to read. Unexpected bytes
 // belong to no request, so a connection with such bytes is not used again.
 func (c *conn) usable() bool {
-	return c.buffered() == 0 && socket.Look(c.Conn) == socket.Nothing
+	return c.buffered() == 0 && c.Look() == socket.Nothing
 }
--- a/internal/cmd/daemon.go
+++ b/internal/cmd/daemon.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sandbarrow.example/sandbarrow/internal/httpcall"
+	"sandbarrow.example/sandbarrow/internal/response"
 	"sandbarrow.example/sandbarrow/settings"
 )
 
@@ -104,9 +105,7 @@
 
 // platformClient returns an HTTP client for calls to the platform.
 func platformClient() *http.Client {
-	dialer := net.Dialer{Timeout: storeDialTimeout, KeepAlive: -1}
-	return &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: storeIdleTimeout, MaxIdleConnsPerHost: 8,
-		MaxResponseHeaderBytes: httpcall.MaxHeaderBytes,
-	}}
+	return &http.Client{Transport: response.NewTransport(&http.Transport{
+		DisableCompression: true, IdleConnTimeout: storeIdleTimeout, MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: httpcall.MaxHeaderBytes,
+	}, &net.Dialer{Timeout: storeDialTimeout, KeepAlive: -1})}
 }
--- a/internal/socket/pending.go
+++ b/internal/socket/pending.go
@@ -23,29 +23,38 @@
 )
 
 // Look returns what a connection has received and its process has not read. A connection without a
-// file descriptor counts as one without bytes.
+// file descriptor counts as one without bytes. The kernel reports an error of the connection once: if it
+// reports one to Look, the next read returns io.EOF.
 func Look(conn net.Conn) Pending {
+	pending, _ := LookError(conn)
+	return pending
+}
+
+// LookError is Look that also returns the error which the kernel has reported, if any.
+func LookError(conn net.Conn) (pending Pending, reported error) {
 	c, ok := conn.(syscall.Conn)
 	if !ok {
-		return Nothing
+		return Nothing, nil
 	}
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return End
+		return End, nil
 	}
-	pending := End
+	pending = End
 	err = raw.Control(func(fd uintptr) {
 		var one [1]byte
 		n, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		switch {
 		case err == unix.EAGAIN:
 			pending = Nothing
-		case err == nil && n > 0:
+		case err != nil:
+			reported = err
+		case n > 0:
 			pending = Bytes
 		}
 	})
 	if err != nil {
-		return End
+		return End, nil
 	}
-	return pending
+	return pending, reported
 }
--- a/store/httpstore.go
+++ b/store/httpstore.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -15,6 +16,7 @@
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/internal/httpcall"
+	"sandbarrow.example/sandbarrow/internal/response"
 	"sandbarrow.example/sandbarrow/internal/storeera"
 )
 
@@ -58,7 +60,7 @@
 
 // NewHTTP returns a client for the store at a base URL.
 func NewHTTP(base string) *HTTP {
-	return &HTTP{base: base, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, MaxResponseHeaderBytes: httpcall.MaxHeaderBytes}}, eras: storeera.NewTracker()}
+	return &HTTP{base: base, client: &http.Client{Transport: response.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxIdleConnections, MaxResponseHeaderBytes: httpcall.MaxHeaderBytes}, &net.Dialer{})}, eras: storeera.NewTracker()}
 }
 
 // CompareAndSwap writes a key if it is at the previous revision.
--- a/upstream/httpcall.go
+++ b/upstream/httpcall.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 
 	"github.com/juju/errors"
@@ -11,6 +12,7 @@
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/internal/boottime"
 	"sandbarrow.example/sandbarrow/internal/httpcall"
+	"sandbarrow.example/sandbarrow/internal/response"
 )
 
 // requestIDHeader sends the request's ID to the upstream.
@@ -26,12 +28,12 @@
 // newClient returns a client that closes a call's connection when its context is canceled. This
 // is how the engine detects a canceled run, and the reason for using net/http.
 func newClient(maxConnections int) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: response.NewTransport(&http.Transport{
 		DisableCompression:     true,
 		MaxIdleConns:           maxConnections,
 		MaxIdleConnsPerHost:    maxConnections,
 		MaxResponseHeaderBytes: httpcall.MaxHeaderBytes,
-	}}
+	}, &net.Dialer{})}
 }
 
 // singleUse hides a body's type. net/http can't rewind such a body and therefore never retries the
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"net/http"
 
 	"sandbarrow.example/sandbarrow"
 	"sandbarrow.example/sandbarrow/internal/httpcall"
+	"sandbarrow.example/sandbarrow/internal/response"
 )
 
 // Service is a client for a plain service. It has no adapters.
@@ -20,11 +22,11 @@
 // opens a connection for each call: if a call on a reused connection is lost, it is unknown
 // whether it ran.
 func NewService(baseURL string, o sandbarrow.SendObserver) *Service {
-	return &Service{baseURL: baseURL, observer: o, client: &http.Client{Transport: &http.Transport{
+	return &Service{baseURL: baseURL, observer: o, client: &http.Client{Transport: response.NewTransport(&http.Transport{
 		DisableCompression:     true,
 		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: httpcall.MaxHeaderBytes,
-	}}}
+	}, &net.Dialer{})}}
 }
 
 // Run makes one call. Every HTTP status counts as a response of the service.
