Refuse responses whose head or trailer is not valid

Cause: net/http takes any three digits as the status, any version, and keeps names with blanks beside the sound ones. "Content-Length :" then does not count, and the body is whatever comes until the end; with "Transfer-Encoding :" it holds the framing of the chunks. A head with status 000 was skipped as informational and the next one taken; a second request id in a head was not seen.

What is refused is a broken response of a request that may have run. golang.org/x/net/http/httpguts knows valid names and values.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/juju/errors"
 
+	"sandbarrow.example/sandbarrow/internal/response"
 	"sandbarrow.example/sandbarrow/internal/socket"
 )
 
@@ -168,9 +169,13 @@
 		if err != nil {
 			return err
 		}
+		if err := checkHead(resp, r.IDHeader); err != nil {
+			return err
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
+		response.GuardBody(resp)
 		if resp.Header.Get(r.IDHeader) == r.ID {
 			rs.Header, rs.Status, rs.resp = resp.Header, resp.StatusCode, resp
 			rs.body = bufio.NewReader(resp.Body)
@@ -186,6 +191,14 @@
 	return errors.New("too many responses to other requests")
 }
 
+// checkHead returns an error if the head of a response may not be used, or names two requests.
+func checkHead(resp *http.Response, idHeader string) error {
+	if err := response.CheckHead(resp); err != nil {
+		return err
+	}
+	return response.CheckSingle(resp.Header, idHeader)
+}
+
 // discard reads the body of a response to an earlier request.
 func discard(body io.Reader) error {
 	switch _, err := io.CopyN(io.Discard, body, maxStaleBytes+1); err {
--- a/forward/invalidresponse_test.go
+++ b/forward/invalidresponse_test.go
@@ -135,3 +135,49 @@
 		})
 	}
 }
+
+func TestInvalidResponsesAreBroken(t *testing.T) {
+	const sound = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nhalf"
+	for name, text := range map[string]string{
+		"status 000":                     "HTTP/1.1 000 Nothing\r\nId: 1\r\nContent-Length: 4\r\n\r\nhalf",
+		"status 000 before a sound one":  "HTTP/1.1 000 Nothing\r\n\r\n" + sound,
+		"status 099 before a sound one":  "HTTP/1.1 099 Nothing\r\n\r\n" + sound,
+		"status 600":                     "HTTP/1.1 600 Nothing\r\nId: 1\r\nContent-Length: 4\r\n\r\nhalf",
+		"status 999":                     "HTTP/1.1 999 Nothing\r\nId: 1\r\nContent-Length: 4\r\n\r\nhalf",
+		"upgrade before a sound one":     "HTTP/1.1 101 Switching\r\n\r\n" + sound,
+		"other version":                  "HTTP/3.7 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nhalf",
+		"blank after length":             "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length : 4\r\n\r\nhalfhalf",
+		"blank after chunked":            "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nhalf\r\n0\r\n\r\n",
+		"blank in a name":                "HTTP/1.1 200 OK\r\nId: 1\r\nX Trouble: 1\r\nContent-Length: 4\r\n\r\nhalf",
+		"control byte in a name":         "HTTP/1.1 200 OK\r\nId: 1\r\nX\x01: 1\r\nContent-Length: 4\r\n\r\nhalf",
+		"control byte in a value":        "HTTP/1.1 200 OK\r\nId: 1\r\nX: \x01\r\nContent-Length: 4\r\n\r\nhalf",
+		"invalid informational head":     "HTTP/1.1 103 Early\r\nX Trouble: 1\r\n\r\n" + sound,
+		"names another request too":      "HTTP/1.1 200 OK\r\nId: 1\r\nId: 2\r\nContent-Length: 4\r\n\r\nhalf",
+		"names another request first":    "HTTP/1.1 200 OK\r\nId: 2\r\nId: 1\r\nContent-Length: 4\r\n\r\nhalf",
+		"blank in a trailer":             "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\nX Trouble: 1\r\n\r\n",
+		"refusal with a blank in a name": "HTTP/1.1 503 Full\r\nId: 1\r\nRetry-After : 9\r\nContent-Length: 0\r\n\r\n",
+		"stale response, invalid":        "HTTP/1.1 200 OK\r\nId: 0\r\nX Trouble: 1\r\nContent-Length: 4\r\n\r\nhalf" + sound,
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := earlyUpstream(t, func(conn *net.TCPConn) { _, _ = io.WriteString(conn, text) })
+			rs, err := p.Send(t.Context(), request("1"))
+			if err == nil {
+				err = readBody(rs)
+				rs.Close()
+			}
+			assert.Assert(t, errors.Is(err, ErrBroken), "%v", err)
+		})
+	}
+}
+
+func TestTrailerAfterStreamIsChecked(t *testing.T) {
+	for trailer, valid := range map[string]bool{"A: b": true, "A b: c": false} {
+		p := earlyUpstream(t, func(conn *net.TCPConn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n0\r\n"+trailer+"\r\n\r\n")
+		})
+		rs, err := p.Send(t.Context(), request("1"))
+		assert.NilError(t, err)
+		assert.Equal(t, readEvents(rs) == nil, valid, trailer)
+		rs.Close()
+	}
+}
--- a/internal/response/transport_test.go
+++ b/internal/response/transport_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -107,3 +108,50 @@
 		})
 	}
 }
+
+func TestInvalidResponsesAreErrors(t *testing.T) {
+	for name, text := range map[string]string{
+		"status 000":             "HTTP/1.1 000 Nothing\r\nContent-Length: 4\r\n\r\nhalf",
+		"status 99":              "HTTP/1.1 099 Nothing\r\nContent-Length: 4\r\n\r\nhalf",
+		"status +20":             "HTTP/1.1 +20 Nothing\r\nContent-Length: 4\r\n\r\nhalf",
+		"status 600":             "HTTP/1.1 600 Nothing\r\nContent-Length: 4\r\n\r\nhalf",
+		"status 999":             "HTTP/1.1 999 Nothing\r\nContent-Length: 4\r\n\r\nhalf",
+		"upgrade":                "HTTP/1.1 101 Switching\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n",
+		"other version":          "HTTP/3.7 200 OK\r\nContent-Length: 4\r\n\r\nhalf",
+		"blank after length":     "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nhalfhalf",
+		"blank after chunked":    "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nhalf\r\n0\r\n\r\n",
+		"blank in a name":        "HTTP/1.1 200 OK\r\nX Trouble: 1\r\nContent-Length: 4\r\n\r\nhalf",
+		"tab in a name":          "HTTP/1.1 200 OK\r\nX\tTrouble: 1\r\nContent-Length: 4\r\n\r\nhalf",
+		"control byte in a name": "HTTP/1.1 200 OK\r\nX\x01: 1\r\nContent-Length: 4\r\n\r\nhalf",
+		"informational":          "HTTP/1.1 103 Early\r\nX Trouble: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhalf",
+		"blank in a trailer":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\nX Trouble: 1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			url := serveRaw(t, func(conn *net.TCPConn) { _, _ = io.WriteString(conn, text) })
+			status, body, err := call(url, 0)
+			assert.Assert(t, err != nil, "taken with status %d: %q", status, body)
+		})
+	}
+}
+
+func TestSoundResponsesAreServed(t *testing.T) {
+	for name, text := range map[string]string{
+		"with a length":    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+		"in chunks":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nA: b\r\n\r\n",
+		"until the end":    "HTTP/1.0 200 OK\r\n\r\nwhole",
+		"folded line":      "HTTP/1.1 200 OK\r\nA: b\r\n c\r\nContent-Length: 5\r\n\r\nwhole",
+		"after early head": "HTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+	} {
+		t.Run(name, func(t *testing.T) {
+			url := serveRaw(t, func(conn *net.TCPConn) {
+				_, _ = io.WriteString(conn, text)
+				_ = conn.CloseWrite()
+				_, _ = io.Copy(io.Discard, conn)
+			})
+			status, body, err := call(url, 0)
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusOK)
+			assert.Equal(t, strings.TrimSpace(string(body)), "whole")
+		})
+	}
+}
--- a/upstream/invalidresponse_test.go
+++ b/upstream/invalidresponse_test.go
@@ -45,6 +45,10 @@
 		reset bool
 	}{
 		"reset while the request is written": {"HTTP/1.1 200 OK\r\n\r\nhalf", true},
+		"status 000":                         {"HTTP/1.1 000 Nothing\r\nContent-Length: 4\r\n\r\nhalf", false},
+		"status 099":                         {"HTTP/1.1 099 Nothing\r\nContent-Length: 4\r\n\r\nhalf", false},
+		"blank after length":                 {"HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nhalfhalf", false},
+		"blank in a name":                    {"HTTP/1.1 200 OK\r\nX Trouble: 1\r\nContent-Length: 4\r\n\r\nhalf", false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			url := rawUpstream(t, func(conn *net.TCPConn) {
