Bound informational heads, and play more responses without end

Operators of a like system report a server that sends bytes without end until the process that called it is out of memory.

Without the bound the new case of TestInvalidResponsesAreErrors fails.

--- a/internal/response/response.go
+++ b/internal/response/response.go
@@ -20,8 +20,13 @@
 	ErrReset = errors.ConstError("response: connection reset before its end")
 )
 
-// maxStatus is the highest status of HTTP.
-const maxStatus = 599
+const (
+	// maxStatus is the highest status of HTTP.
+	maxStatus = 599
+	// MaxInformational bounds the informational heads before the head of a response. net/http bounds them
+	// only for clients that do not look at them.
+	MaxInformational = 3
+)
 
 // CheckHead decides whether the head of a response may be used. It returns an ErrInvalid if not.
 //
@@ -40,6 +45,15 @@
 	return checkFields(r.Header)
 }
 
+// checkInformational decides whether a client goes on after an informational head, the count-th one of a
+// response. It returns an ErrInvalid if not.
+func checkInformational(count int, h http.Header) error {
+	if count > MaxInformational {
+		return errors.Annotatef(ErrInvalid, "more than %d informational heads", MaxInformational)
+	}
+	return checkFields(h)
+}
+
 // CheckTrailer decides whether a response whose body was read may be used, by the fields after its body.
 // It returns an ErrInvalid if not.
 func CheckTrailer(r *http.Response) error {
--- a/internal/response/transport.go
+++ b/internal/response/transport.go
@@ -28,7 +28,11 @@
 // RoundTrip makes a request. A response that is not valid is an error, after which the request may have
 // been served.
 func (t *Transport) RoundTrip(q *http.Request) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return checkFields(http.Header(h)) }}
+	informational := 0
+	trace := &httptrace.ClientTrace{Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
+		informational++
+		return checkInformational(informational, http.Header(h))
+	}}
 	r, err := t.base.RoundTrip(q.WithContext(httptrace.WithClientTrace(q.Context(), trace)))
 	if err != nil {
 		return nil, err
--- a/internal/response/transport_test.go
+++ b/internal/response/transport_test.go
@@ -124,6 +124,7 @@
 		"tab in a name":          "HTTP/1.1 200 OK\r\nX\tTrouble: 1\r\nContent-Length: 4\r\n\r\nhalf",
 		"control byte in a name": "HTTP/1.1 200 OK\r\nX\x01: 1\r\nContent-Length: 4\r\n\r\nhalf",
 		"informational":          "HTTP/1.1 103 Early\r\nX Trouble: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhalf",
+		"informational, endless": strings.Repeat("HTTP/1.1 103 Early\r\nLink: x\r\n\r\n", 100) + "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhalf",
 		"blank in a trailer":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\nX Trouble: 1\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
