End the additional connections of an entry with its first one

An entry opens several connections to each agent; heartbeats go over the first, the others carry attempts alone. An agent noticed the silence of the first one only. The additional connections of an entry whose box was lost stayed open for good, and the attempts on them ran on with nobody to read the response. Their own silence shows nothing, as an entry may have no attempt. Connections that were opened together now name their session and end together. Former builds name none, and nothing changes for them.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -62,8 +62,8 @@
 	mu              sync.Mutex
 	attempts        map[attemptKey]*attempt
 	byTicket        map[*schedule.Ticket]*attempt
-	failedRuns      []failedRun // since the upstream's last known start
-	conns           map[*connection]struct{}
+	failedRuns      []failedRun              // since the upstream's last known start
+	conns           map[*connection]struct{} // after their Hello
 	draining        bool
 	lastExit        exitRecord
 	nextOrderAt     time.Time // the load budget permits no order earlier
--- a/agent/connection.go
+++ b/agent/connection.go
@@ -34,7 +34,9 @@
 	rpc         *jsonrpc2.Conn
 
 	// The agent's mu guards the fields below.
+	additional      bool             // carries attempts only
 	box             sandbarrow.BoxID // of the entry
+	session         wire.SessionID   // of the entry; "" of a former build
 	residentChanges int              // the value of Agent.residentChanges at the last list sent
 	lastStatus      wire.Status
 	lastStatusAt    time.Time
@@ -70,6 +72,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.conns, c)
+	a.endSession(c)
 	for _, at := range a.attempts {
 		if at.conn != c {
 			continue
@@ -85,6 +88,19 @@
 	}
 }
 
+// endSession closes the additional connections of an entry whose first connection has ended. Nothing is
+// sent on them while there are no attempts, so that their own silence shows nothing. The caller holds mu.
+func (a *Agent) endSession(first *connection) {
+	if first.additional || first.session == "" {
+		return
+	}
+	for c := range a.conns {
+		if c.session == first.session {
+			go c.rpc.Close()
+		}
+	}
+}
+
 func (c *connection) notify(method string, params any) error {
 	return c.rpc.Notify(context.Background(), method, params)
 }
@@ -149,9 +165,9 @@
 	u := a.settings.Agent.Upstream
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	c.box = h.Box
-	if !h.AdditionalConnection {
-		a.conns[c] = struct{}{}
+	c.box, c.session, c.additional = h.Box, h.Session, h.AdditionalConnection
+	a.conns[c] = struct{}{}
+	if !c.additional {
 		go a.crashes.Follow(ctx, c, func(records []crash.Record) error {
 			return c.notify(wire.MethodCrashes, wire.Crashes{Records: records})
 		})
@@ -218,6 +234,9 @@
 		working[at.conn.box] = true
 	}
 	for c := range a.conns {
+		if c.additional {
+			continue // an entry may have no attempt for it
+		}
 		if c.sinceLastContact() > entryTimeout {
 			a.logger.Warn("entry heartbeat timeout, connection closed")
 			go c.rpc.Close()
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/juju/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
@@ -48,6 +49,7 @@
 	index       int
 	inflight    atomic.Int64
 	connections []*jsonrpc2.Conn
+	session     wire.SessionID
 
 	mu      sync.Mutex
 	streams map[uint64]*responseStream
@@ -55,7 +57,7 @@
 
 // dial opens all connections to an agent and performs the handshake on each.
 func (e *Entry) dial(ctx context.Context, box sandbarrow.Box) (*peer, error) {
-	p := &peer{box: box, entry: e, streams: map[uint64]*responseStream{}}
+	p := &peer{box: box, entry: e, session: wire.SessionID(uuid.NewString()), streams: map[uint64]*responseStream{}}
 	p.recordContact()
 	ready := make(chan struct{})
 	for i := range connections {
@@ -106,6 +108,7 @@
 		FailureDomain:        p.entry.settings.Box.FailureDomain,
 		AdditionalConnection: additional,
 		Protocol:             wire.Protocol,
+		Session:              p.session,
 	}, &reply)
 	return reply, errors.Annotate(err, "hello")
 }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -125,8 +125,13 @@
 	// carry attempts only.
 	AdditionalConnection bool `json:"lane,omitempty"`
 	Protocol             int  `json:"protocol"`
+	// Session identifies the connections that an entry has opened together. They end together.
+	Session SessionID `json:"session,omitempty"`
 }
 
+// SessionID identifies the connections that an entry has opened together to one agent.
+type SessionID string
+
 // HelloReply describes an agent and its upstream.
 type HelloReply struct {
 	BaseModel     sandbarrow.BaseModelID   `json:"base_model,omitempty"`
