Close connections to peers that do not reply

Where no controller is linked, peers coordinate limits, permits and the origins of streams, and most of what they get are reports, which have no reply. Reports on a connection that has gone silent were lost without a sign, and kept it from being closed as idle. Former builds reply that they do not know the method, which serves as well.

TestSilentConnectionToPeerIsClosed covers it; before, nothing ended such a connection.

--- a/sendkeepers/peer.go
+++ b/sendkeepers/peer.go
@@ -104,3 +104,20 @@
 		p.close()
 	}
 }
+
+// closeSilent closes the open connection if the peer does not reply on it. Reports get no reply, so that
+// those on a connection that has gone silent would be lost for as long as they keep it from being idle.
+func (p *peer) closeSilent(ctx context.Context) {
+	p.mu.Lock()
+	rpc := p.rpc
+	p.mu.Unlock()
+	if rpc == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, SendTimeout)
+	defer cancel()
+	var refusal *jsonrpc2.Error // a peer that does not know the method replies too
+	if err := rpc.Call(ctx, enginelink.MethodEcho, nil, nil); err != nil && !errors.As(err, &refusal) {
+		p.drop(rpc)
+	}
+}
--- a/sendkeepers/peer_test.go
+++ b/sendkeepers/peer_test.go
@@ -50,3 +50,20 @@
 	}
 	assert.Equal(t, connections.Load(), int64(1))
 }
+
+// Reports on a silent connection are lost, and they keep it from being closed as idle.
+func TestSilentConnectionToPeerIsClosed(t *testing.T) {
+	var keeper enginelink.OriginKeeper
+	sound, _ := servePeer(t, &keeper)
+	l, err := net.Listen("tcp", "127.0.0.1:0") // accepts connections and reads nothing
+	assert.NilError(t, err)
+	defer l.Close()
+	for address, stays := range map[string]bool{sound: true, l.Addr().String(): false} {
+		p := &peer{address: address}
+		p.closeSilent(t.Context()) // not connected
+		assert.NilError(t, p.StreamBegan(began(1)))
+		p.closeSilent(t.Context())
+		assert.Equal(t, p.rpc != nil, stays)
+		p.close()
+	}
+}
--- a/sendkeepers/sendkeepers.go
+++ b/sendkeepers/sendkeepers.go
@@ -12,6 +12,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -78,11 +80,12 @@
 	}
 }
 
-// Run closes idle connections to peers until ctx ends, and then closes all.
+// Run closes idle and silent connections to peers until ctx ends, and then closes all.
 func (c *Coordinators) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		pause.For(ctx, peerIdleTimeout)
 		c.closeIdle(boottime.Now())
+		c.closeSilent(ctx)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -100,6 +103,18 @@
 	}
 }
 
+// closeSilent closes the connections to peers that do not reply.
+func (c *Coordinators) closeSilent(ctx context.Context) {
+	c.mu.Lock()
+	peers := slices.Collect(maps.Values(c.peers))
+	c.mu.Unlock()
+	var group sync.WaitGroup
+	for _, p := range peers {
+		group.Go(func() { p.closeSilent(ctx) })
+	}
+	group.Wait()
+}
+
 // RequestSend requests one send from one coordinator after the other until one replies. It reports a
 // grant to the other coordinators of the upstream.
 func (c *Coordinators) RequestSend(ctx context.Context, q enginelink.Send) enginelink.SendGrant {
