Let pins expire with the deadline of their request

A pin lasted until its gateway unpinned it, or until its link ended: eleven seconds for a gateway that is gone, though most requests end within five. An acquire now names when the engine ceases to work on the request, by the caller's own deadline, and the pin ends a second later whatever becomes of the unpin. Gateways of a former build name none, and controllers of a former build ignore it.

Without expirePins TestPinExpiresWithItsRequest fails.

--- a/controller/acquire.go
+++ b/controller/acquire.go
@@ -21,7 +21,7 @@
 // enginelink.ExtraLoadWait longer.
 func (l *link) acquire(q *enginelink.Acquire, a *acquireCall) enginelink.Grant {
 	c := l.controller
-	p := &pin{gapTarget: q.GapTarget(), key: sandbarrow.AdapterKey{Adapter: q.Adapter, Model: q.Model}, priority: q.Priority, promptPrefixes: q.PromptPrefixes, tokens: q.Tokens}
+	p := &pin{expires: expiryOf(c.now(), q), gapTarget: q.GapTarget(), key: sandbarrow.AdapterKey{Adapter: q.Adapter, Model: q.Model}, priority: q.Priority, promptPrefixes: q.PromptPrefixes, tokens: q.Tokens}
 	w, refusal := l.enqueue(q, p, a)
 	if w == nil {
 		c.metrics.refused(refusal.Refused)
@@ -191,7 +191,7 @@
 		l.addPin(q.ID, p)
 		return
 	}
-	p := &pin{responseStarted: true, gapTarget: q.GapTarget(), key: sandbarrow.AdapterKey{Adapter: q.Adapter, Model: q.Model}, priority: q.Priority, tokens: q.Tokens}
+	p := &pin{expires: expiryOf(c.now(), q), responseStarted: true, gapTarget: q.GapTarget(), key: sandbarrow.AdapterKey{Adapter: q.Adapter, Model: q.Model}, priority: q.Priority, tokens: q.Tokens}
 	c.slots.pin(c.now(), p)
 	l.addPin(q.ID, p)
 }
--- a/controller/linkend.go
+++ b/controller/linkend.go
@@ -99,11 +99,12 @@
 	return l.incarnation != "" && quietChecks >= maxQuietChecks
 }
 
-// checkLinks ends the links of gateways that send nothing any more.
+// checkLinks releases expired pins and ends the links of gateways that send nothing any more.
 func (c *Controller) checkLinks() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for l := range c.links {
+		c.expirePins(l)
 		if l.isSilent(l.quiet.Check(l.stream.Received())) {
 			c.endLink(l, linkSilent, 0)
 		}
--- a/controller/metrics.go
+++ b/controller/metrics.go
@@ -14,6 +14,7 @@
 type metrics struct {
 	eventBase       prometheus.Gauge
 	eventPerRunning prometheus.Gauge
+	expiredPins     prometheus.Counter
 	holds           *prometheus.CounterVec
 	linkEnds        *prometheus.CounterVec
 	responseBase    prometheus.Gauge
@@ -37,6 +38,9 @@
 		eventPerRunning: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "sandbarrow_controller_event_seconds_per_running", Help: "Estimated time that each running request adds between two events of a stream.",
 		}),
+		expiredPins: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sandbarrow_controller_expired_pins_total", Help: "Pins that were released since their request had ended by its deadline.",
+		}),
 		holds: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sandbarrow_controller_prompt_holds_total", Help: "Prompts that had to wait for the engine's streams, slots or memory, by reason.",
 		}, []string{"reason"}),
@@ -78,7 +82,7 @@
 			Name: "sandbarrow_controller_waiting_tokens", Help: "Prompt tokens that the engine has yet to read.",
 		}),
 	}
-	r.MustRegister(m.eventBase, m.eventPerRunning, m.holds, m.linkEnds, m.responseBase, m.demandWrites, m.preloads, m.loadClaims, m.loads, m.modelVersion, m.orders, m.prefillPerToken, m.prefillWindow, m.refusals, m.tokensWaiting)
+	r.MustRegister(m.eventBase, m.eventPerRunning, m.expiredPins, m.holds, m.linkEnds, m.responseBase, m.demandWrites, m.preloads, m.loadClaims, m.loads, m.modelVersion, m.orders, m.prefillPerToken, m.prefillWindow, m.refusals, m.tokensWaiting)
 	return m
 }
 
--- a/controller/pendingload.go
+++ b/controller/pendingload.go
@@ -16,6 +16,8 @@
 	// responseStarted reports that the response has started, which means that the prompt
 	// was prefilled.
 	responseStarted bool
+	// expires is when the engine has ceased to work on the request; zero if that is unknown.
+	expires time.Time
 	// granted reports that the pin is granted. Until then it waits.
 	granted bool
 	// grantedAt is when the pin was granted here; zero if a gateway reported the pin.
--- a/enginelink/messages.go
+++ b/enginelink/messages.go
@@ -250,6 +250,9 @@
 // Acquire requests a pin on an adapter, or the use of a base model without an adapter.
 type Acquire struct {
 	Adapter sandbarrow.AdapterID `json:"adapter,omitempty"`
+	// DeadlineMS is after how many milliseconds the engine ceases to work on the request; 0 if that is
+	// unknown.
+	DeadlineMS int64 `json:"deadline_ms,omitempty"`
 	// GapTargetMS is the longest pause, in milliseconds, between two events of the stream that its
 	// route allows; 0 if there is no target.
 	GapTargetMS int64                  `json:"gap_ms,omitempty"`
--- a/gateway/serveengine.go
+++ b/gateway/serveengine.go
@@ -149,7 +149,7 @@
 // engine itself refuses it if the adapter is no longer loaded. wait bounds the time until a load begins.
 func (c *call) acquire(ctx context.Context, e *candidate, wait time.Duration) (enginelink.Grant, bool) {
 	request := &enginelink.Acquire{
-		Adapter: c.key.Adapter, GapTargetMS: c.route.EventGapTarget.Milliseconds(), ID: sandbarrow.RequestID(c.id), Instance: e.instance.ID, Model: c.key.Model,
+		Adapter: c.key.Adapter, DeadlineMS: max(1, boottime.Until(c.callerDeadline).Milliseconds()), GapTargetMS: c.route.EventGapTarget.Milliseconds(), ID: sandbarrow.RequestID(c.id), Instance: e.instance.ID, Model: c.key.Model,
 		MaxWaitingTokens: e.maxWaitingTokens(), Priority: c.priority(), PromptPrefixes: c.promptPrefixes, SpareMS: c.spareTime(0).Milliseconds(), Tokens: c.tokens, Version: c.version,
 		WaitMS: max(1, wait.Milliseconds()),
 	}
