End links of gateways that are lost before their first message

A connection that never brought a message counted as a linked gateway for as long as the kernel kept it, with a share of the retry budget, since only links with a first message of this build had a time-out. The first message of any build comes at once, so ten checks without one end the link. Without the rule TestLinkWithoutFirstMessageEnds fails.

Also: LinkNumber is a named type, and the gateway's new fields stand together.

--- a/controller/gatewaylink.go
+++ b/controller/gatewaylink.go
@@ -32,7 +32,7 @@
 	// incarnation and number are those of the gateway's Hello; guarded by the controller's mu. A former
 	// build names no incarnation.
 	incarnation sandbarrow.Incarnation
-	number      uint64
+	number      enginelink.LinkNumber
 	// quiet counts the checks without a message of the gateway.
 	quiet wire.Quiet
 	// limitsDue signals that the upstreams' limits have changed.
--- a/controller/linkend.go
+++ b/controller/linkend.go
@@ -49,7 +49,7 @@
 // endLink closes a link whose connection is still open, after so many of its pins were released. The
 // caller holds mu.
 func (c *Controller) endLink(l *link, why linkEnd, released int) {
-	c.logger.Warn("gateway link closed", "incarnation", string(l.incarnation), "link", l.number, "cause", string(why), "pins", len(l.pins), "released", released)
+	c.logger.Warn("gateway link closed", "incarnation", string(l.incarnation), "link", uint64(l.number), "cause", string(why), "pins", len(l.pins), "released", released)
 	c.metrics.linkEnds.WithLabelValues(string(why)).Inc()
 	c.closeLink(l)
 	l.cancel()
@@ -94,9 +94,11 @@
 }
 
 // isSilent decides whether a gateway is gone, by the number of checks in a row without a message. A
-// gateway of a former build sends no heartbeats and may have nothing to send for any time.
+// gateway of a former build sends no heartbeats and may have nothing to send for any time, but its first
+// message comes at once.
 func (l *link) isSilent(quietChecks int) bool {
-	return l.incarnation != "" && quietChecks >= maxQuietChecks
+	neverHeard := l.stream.Received() == 0
+	return quietChecks >= maxQuietChecks && (l.incarnation != "" || neverHeard)
 }
 
 // checkLinks releases expired pins and ends the links of gateways that send nothing any more.
--- a/controller/linkend_test.go
+++ b/controller/linkend_test.go
@@ -24,7 +24,7 @@
 }
 
 // openNumberedLink opens a link as the process of a gateway does, with the pins that it still has.
-func openNumberedLink(t *testing.T, c *Controller, process sandbarrow.Incarnation, number uint64, pins ...enginelink.Acquire) *jsonrpc2.Conn {
+func openNumberedLink(t *testing.T, c *Controller, process sandbarrow.Incarnation, number enginelink.LinkNumber, pins ...enginelink.Acquire) *jsonrpc2.Conn {
 	t.Helper()
 	rpc := openLink(t.Context(), c, nil)
 	hello := enginelink.Hello{Box: "g", Incarnation: process, Link: number}
@@ -153,6 +153,17 @@
 	assert.Equal(t, c.linkCount(), 1)
 }
 
+// A gateway may be lost between the connection and its first message.
+func TestLinkWithoutFirstMessageEnds(t *testing.T) {
+	c := newPinnedController(t)
+	openLink(t.Context(), c, nil)
+	eventually(t, func() bool { return c.linkCount() == 1 })
+	for range maxQuietChecks {
+		c.checkLinks()
+	}
+	assert.Equal(t, c.linkCount(), 0)
+}
+
 // A gateway of a former build sends no heartbeats.
 func TestQuietLinkOfFormerBuildStays(t *testing.T) {
 	c := newPinnedController(t)
--- a/enginelink/messages.go
+++ b/enginelink/messages.go
@@ -36,7 +36,7 @@
 	MethodUnpin = "engine.done"
 	// MethodFetch fetches changes of the operators' state; a call.
 	MethodFetch = "estate.fetch"
-	// MethodHeartbeat says that a gateway is alive that has nothing else to send.
+	// MethodHeartbeat reports that a gateway which sends nothing else is alive.
 	MethodHeartbeat = "link.alive"
 	// MethodHello opens a link.
 	MethodHello = "link.hello"
@@ -126,6 +126,9 @@
 	RefuseNoSlot RefuseReason = "slots"
 )
 
+// LinkNumber numbers the connections of one process, from 1.
+type LinkNumber uint64
+
 // Hello opens a link.
 type Hello struct {
 	Box sandbarrow.BoxID `json:"box"`
@@ -137,8 +140,8 @@
 	// Incarnation identifies the process of the gateway. A gateway that names it sends a message at least
 	// every GatewayHeartbeatInterval.
 	Incarnation sandbarrow.Incarnation `json:"incarnation,omitempty"`
-	// Link numbers the connections of that process to the controller. One with a higher number supersedes the others.
-	Link uint64 `json:"link,omitempty"`
+	// Link is the number of the connection. It supersedes those of its process with lower numbers.
+	Link LinkNumber `json:"link,omitempty"`
 	// Pins are the requests of all pins that the gateway has. A MethodPinned follows for each.
 	Pins []sandbarrow.RequestID `json:"pins,omitempty"`
 	// Speed is the last estimate of the engine's prefill speed that the gateway received, or
--- a/gateway/controllerlink.go
+++ b/gateway/controllerlink.go
@@ -82,7 +82,7 @@
 		hello.EventTimes = typicalEvents
 	}
 	pins := slices.Collect(maps.Values(l.pins))
-	hello.Incarnation, hello.Link, hello.Pins = l.gateway.incarnation, l.gateway.linkCount.Add(1), slices.Collect(maps.Keys(l.pins))
+	hello.Incarnation, hello.Link, hello.Pins = l.gateway.incarnation, enginelink.LinkNumber(l.gateway.linkCount.Add(1)), slices.Collect(maps.Keys(l.pins))
 	l.mu.Unlock()
 	close(ready)
 	if rpc.Notify(ctx, enginelink.MethodHello, hello) != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -133,20 +133,15 @@
 	directory     *directory.Directory
 	distances     *distance.Table
 	exits         *exitDetector
-	// incarnation identifies this process to the controllers, linkCount numbers its connections to them.
-	incarnation sandbarrow.Incarnation
-	linkCount   atomic.Uint64
-	// peerCheckInterval is the constant of that name; tests shorten it.
-	peerCheckInterval time.Duration
-	engines           *engines
-	estate            *estate.Estate
-	leaders           *quotaLeaders
-	listReply         *encodedList
-	loads             *loadClaims
-	loadTimes         *loadtime.Estimator
-	logger            *slog.Logger
-	memory            *heldbytes.Budget
-	metrics           *metrics
+	engines       *engines
+	estate        *estate.Estate
+	leaders       *quotaLeaders
+	listReply     *encodedList
+	loads         *loadClaims
+	loadTimes     *loadtime.Estimator
+	logger        *slog.Logger
+	memory        *heldbytes.Budget
+	metrics       *metrics
 	// origins records where streams began; ownOrigins keeps those of peers.
 	origins    *sendkeepers.Origins
 	ownOrigins enginelink.OriginKeeper
@@ -165,6 +160,12 @@
 	stopping        atomic.Pointer[plannedStop]
 	upstreams       *upstreams
 
+	// incarnation identifies this process to the controllers, linkCount numbers its connections to them.
+	incarnation sandbarrow.Incarnation
+	linkCount   atomic.Uint64
+	// peerCheckInterval is the constant of that name; tests shorten it.
+	peerCheckInterval time.Duration
+
 	mu    sync.Mutex
 	pools map[sandbarrow.InstanceID]*forward.Pool
 }
@@ -172,22 +173,21 @@
 // New returns a gateway; Run starts it.
 func New(c Config) *Gateway {
 	g := &Gateway{
-		budgets:           retry.NewServiceBudgets(c.RetryShare, c.RetrySlack),
-		config:            c,
-		crashes:           crash.NewLog(boottime.Now),
-		partCrashes:       crash.NewPartLog(boottime.Now),
-		directory:         directory.New(c.Instances, c.Logger),
-		distances:         distance.NewTable(),
-		estate:            estate.New(c.Documents, c.Logger),
-		peerCheckInterval: peerCheckInterval,
-		incarnation:       sandbarrow.Incarnation(uuid.NewString()),
-		loadTimes:         loadtime.NewEstimator(),
-		logger:            c.Logger,
-		memory:            newMemoryBudget(&c),
-		metrics:           newMetrics(c.Metrics),
-		started:           boottime.Now(),
-		pools:             map[sandbarrow.InstanceID]*forward.Pool{},
+		budgets:     retry.NewServiceBudgets(c.RetryShare, c.RetrySlack),
+		config:      c,
+		crashes:     crash.NewLog(boottime.Now),
+		partCrashes: crash.NewPartLog(boottime.Now),
+		directory:   directory.New(c.Instances, c.Logger),
+		distances:   distance.NewTable(),
+		estate:      estate.New(c.Documents, c.Logger),
+		loadTimes:   loadtime.NewEstimator(),
+		logger:      c.Logger,
+		memory:      newMemoryBudget(&c),
+		metrics:     newMetrics(c.Metrics),
+		started:     boottime.Now(),
+		pools:       map[sandbarrow.InstanceID]*forward.Pool{},
 	}
+	g.incarnation, g.peerCheckInterval = sandbarrow.Incarnation(uuid.NewString()), peerCheckInterval
 	g.engines = newEngines(g)
 	g.callers = newCallers(g)
 	g.crashSync = newCrashExchange(g, enginelink.MethodCrashes, g.crashes)
