Unpin again what ended as a link opened

A gateway reports its pins on each new link, one after the other. A request that ends meanwhile sends its unpin at once, which may arrive before the report of its pin: the controller ignored the unpin and kept the pin for as long as the link, and its adapter with it. Now the gateway looks again after each report, and unpins what has ended since.

Found by reading the order of messages of the new links. Without the second look TestPinThatEndedAsLinkOpenedIsUnpinned fails (the pin stays).

--- a/gateway/controllerlink.go
+++ b/gateway/controllerlink.go
@@ -88,10 +88,8 @@
 	if rpc.Notify(ctx, enginelink.MethodHello, hello) != nil {
 		return
 	}
-	for _, q := range pins {
-		if rpc.Notify(ctx, enginelink.MethodPinned, q) != nil {
-			return
-		}
+	if l.reportPins(ctx, rpc, pins) != nil {
+		return
 	}
 	go enginelink.PublishWatermarks(ctx, rpc, l.gateway.estate)
 	l.gateway.logger.Info("controller linked", "controller", l.address)
@@ -237,6 +235,23 @@
 	return g, err == nil
 }
 
+// reportPins reports the pins that the gateway had as a connection opened. One that was unpinned since is
+// unpinned again, as its unpin may have gone before this report and would be lost.
+func (l *controllerLink) reportPins(ctx context.Context, rpc *jsonrpc2.Conn, pins []*enginelink.Acquire) error {
+	for _, q := range pins {
+		if err := rpc.Notify(ctx, enginelink.MethodPinned, q); err != nil {
+			return err
+		}
+		if l.hasPin(q.ID) {
+			continue
+		}
+		if err := rpc.Notify(ctx, enginelink.MethodUnpin, enginelink.Pin{ID: q.ID}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // reportLatePin reports a pin that was granted on a connection which a newer one has superseded. That
 // one may have reported the pins before this one was among them.
 func (l *controllerLink) reportLatePin(ctx context.Context, granted *jsonrpc2.Conn, q *enginelink.Acquire) {
--- a/gateway/controllerheartbeat_test.go
+++ b/gateway/controllerreports_test.go
@@ -21,6 +21,9 @@
 	mu         sync.Mutex
 	hello      enginelink.Hello
 	heartbeats int
+	// pins are those that the gateway has reported and not unpinned since, reported counts the reports.
+	pins     map[sandbarrow.RequestID]bool
+	reported int
 }
 
 func (r *linkRecorder) handle(_ context.Context, q *jsonrpc2.Request) (any, error) {
@@ -31,6 +34,19 @@
 		return nil, json.Unmarshal(*q.Params, &r.hello)
 	case enginelink.MethodHeartbeat:
 		r.heartbeats++
+	case enginelink.MethodPinned, enginelink.MethodUnpin:
+		var p enginelink.Pin
+		if err := json.Unmarshal(*q.Params, &p); err != nil {
+			return nil, err
+		}
+		if r.pins == nil {
+			r.pins = map[sandbarrow.RequestID]bool{}
+		}
+		delete(r.pins, p.ID)
+		if q.Method == enginelink.MethodPinned {
+			r.pins[p.ID] = true
+			r.reported++
+		}
 	}
 	return nil, nil
 }
@@ -58,6 +74,8 @@
 		defer r.mu.Unlock()
 		return r.heartbeats >= 2
 	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	assert.Assert(t, r.hello.Incarnation != "")
 }
 
@@ -83,6 +101,27 @@
 	assert.Assert(t, second.hello.Link > first.hello.Link)
 }
 
+// An unpin may go to the controller before the report of its pin on a new link, which would then stay.
+func TestPinThatEndedAsLinkOpenedIsUnpinned(t *testing.T) {
+	l := &controllerLink{address: "a", gateway: newChoosingGateway(t)}
+	running, ended := &enginelink.Acquire{ID: "1"}, &enginelink.Acquire{ID: "2"}
+	l.addPin(running)
+	near, far := net.Pipe()
+	var r linkRecorder
+	jsonrpc2.NewConn(t.Context(), wire.NewStream(far), wire.Handler(r.handle))
+	rpc := jsonrpc2.NewConn(t.Context(), wire.NewStream(near), wire.Handler(r.handle))
+	assert.NilError(t, rpc.Notify(t.Context(), enginelink.MethodUnpin, enginelink.Pin{ID: ended.ID}))
+	assert.NilError(t, l.reportPins(t.Context(), rpc, []*enginelink.Acquire{ended, running}))
+	eventually(t, func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.reported == 2 && r.pins[running.ID]
+	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	assert.DeepEqual(t, r.pins, map[sandbarrow.RequestID]bool{running.ID: true})
+}
+
 func TestHeartbeatDueAfterQuietInterval(t *testing.T) {
 	assert.Assert(t, !heartbeatDue(0))
 	assert.Assert(t, !heartbeatDue(1))
--- a/gateway/linkstate.go
+++ b/gateway/linkstate.go
@@ -177,6 +177,13 @@
 	l.pins[q.ID] = q
 }
 
+// hasPin reports whether the gateway has a pin for a request.
+func (l *linkState) hasPin(id sandbarrow.RequestID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.pins[id] != nil
+}
+
 // addWaitingTokens adds the prompt tokens of a request of a priority that the engine has yet to
 // prefill. With a negative number it removes them.
 func (l *linkState) addWaitingTokens(priority, tokens int) {
