--- a/controller/linkend_test.go
+++ b/controller/linkend_test.go
@@ -95,7 +95,10 @@
 	q := pinRequest("1", "a")
 	newer := openNumberedLink(t, c, "p", 2)
 	acquirePin(t, newer, q)
-	older := openNumberedLink(t, c, "p", 1, pinRequest("2", "b"))
+	older := openLink(t.Context(), c, nil)
+	late := pinRequest("2", "b")
+	assert.NilError(t, older.Notify(t.Context(), enginelink.MethodHello, enginelink.Hello{Box: "g", Incarnation: "p", Link: 1, Pins: []sandbarrow.RequestID{late.ID}}))
+	_ = older.Notify(t.Context(), enginelink.MethodPinned, late) // the link may have ended already
 	select {
 	case <-older.DisconnectNotify():
 	case <-time.After(time.Second):
