Let a test of further attempts wait for the retry budget

Traced by the log of such a run: the third attempt was refused with retry-budget. A gateway that has no status yet of how many gateways there are may make one retry, and these cases need two.

--- a/gateway/streamposition_test.go
+++ b/gateway/streamposition_test.go
@@ -104,6 +104,8 @@
 			r := streamRoute(true)
 			r.MaxAttempts = tc.attempts
 			f.configure(t, r)
+			// Before it knows the number of gateways, a gateway may make one retry only.
+			eventually(t, func() bool { return f.gateway.engines.gateways() > 0 })
 			f.breakAttempts(t, tc.cut)
 			var got testResponse
 			if tc.resumedAfter == 0 {
